--- /dev/null
+++ b/src/include/ryefold/core/entry/forwarder.h
@@ -0,0 +1,109 @@
+#pragma once
+
+// What an entry does with a caller's request: which instance keeps the group,
+// what to do when that instance refuses, vanishes or stays silent.
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "ryefold/core/messages.h"
+#include "ryefold/core/outcome.h"
+#include "ryefold/core/types.h"
+
+namespace ryefold::core::entry {
+
+using RequestTag = uint64_t;
+using CallId = uint64_t;
+
+// ---- events ----
+
+struct RequestArrived {
+  RequestTag tag = 0;
+  StatementRequest request;
+};
+struct RequestAbandoned {
+  RequestTag tag = 0;
+};
+/// A keeper answered a forwarded request or a settle call.
+struct PeerAnswered {
+  CallId call = 0;
+  StatementAnswer answer = StatementAnswer::Unknown(Reason::kNone);
+};
+/// A keeper did not answer. `may_have_arrived` is false only when it cannot
+/// have seen the call.
+struct PeerFailed {
+  CallId call = 0;
+  bool may_have_arrived = true;
+};
+struct Tick {};
+using Event = std::variant<RequestArrived, RequestAbandoned, PeerAnswered,
+                           PeerFailed, Tick>;
+
+// ---- actions ----
+
+struct Respond {
+  RequestTag tag = 0;
+  StatementAnswer answer = StatementAnswer::Unknown(Reason::kNone);
+};
+struct Forward {
+  CallId call = 0;
+  std::string instance;
+  StatementRequest request;
+};
+struct Settle {
+  CallId call = 0;
+  std::string instance;
+  SettleRequest request;
+};
+/// Tells membership that an instance failed to answer, or answered.
+struct Suspect {
+  std::string instance;
+};
+struct Trust {
+  std::string instance;
+};
+using Action = std::variant<Respond, Forward, Settle, Suspect, Trust>;
+
+/// Gives the instances that may keep a group, the intended one first; those
+/// suspected come last. Empty when none is known.
+using Ranking = std::function<std::vector<std::string>(
+    TimePoint now, const std::string& group)>;
+
+struct ForwarderTiming {
+  /// A keeper silent for this long on a request is doubted: the outcome of a
+  /// non-repeatable request is then settled through the next in rank, a
+  /// repeatable one is sent there.
+  std::chrono::milliseconds patience{1500};
+  /// Retries earned per first try, and how many may be saved up.
+  double retry_ratio = 0.2;
+  double retry_burst = 50;
+  /// First backoff before a retry, doubled with jitter each time.
+  std::chrono::milliseconds backoff{20};
+};
+
+/// State machine of one entry, for all groups. Owned by one task.
+class Forwarder {
+ public:
+  Forwarder(Ranking ranking, ForwarderTiming timing, uint64_t seed);
+  ~Forwarder();
+  Forwarder(const Forwarder&) = delete;
+  Forwarder& operator=(const Forwarder&) = delete;
+
+  void Handle(TimePoint now, const Event& event, std::vector<Action>* actions);
+  TimePoint next_deadline() const;
+  size_t in_progress() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+/// Transaction ids name the instance that holds the connection, so that any
+/// entry can route them: "instance~number~nonce".
+std::string TransactionKeeper(const std::string& transaction);
+
+}  // namespace ryefold::core::entry
