--- /dev/null
+++ b/src/include/ryefold/core/membership/roster.h
@@ -0,0 +1,74 @@
+#pragma once
+
+// Who is there: the platform's lagging list, corrected by what this instance
+// has itself seen fail.
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "ryefold/core/membership/instance.h"
+#include "ryefold/core/types.h"
+
+namespace ryefold::core::membership {
+
+struct RosterTiming {
+  /// How long one failure counts against an instance; doubled with each
+  /// further one before it answers again, up to `suspicion_max`.
+  std::chrono::milliseconds suspicion{5000};
+  std::chrono::milliseconds suspicion_max{60000};
+};
+
+/// Members by name, suspicion, and the order in which instances may keep a
+/// group. Owned by one task; entries and duties share it there.
+class Roster {
+ public:
+  explicit Roster(RosterTiming timing = {});
+
+  /// Takes the whole list, as `configuration::Node::members` gives it.
+  void SetMembers(const std::vector<Member>& members);
+
+  /// A call to the instance failed or timed out. Evidence comes from calls
+  /// that were made anyway; nothing probes the whole fleet.
+  void Suspect(TimePoint now, const std::string& instance);
+  /// The instance answered.
+  void Trust(const std::string& instance);
+  bool Suspected(TimePoint now, const std::string& instance) const;
+
+  /// Names of the instances that may keep `group`, the intended keeper first:
+  /// by xxhash64 of group and instance, so that a lost instance moves only
+  /// its own groups; leaving ones after live ones, suspected ones last. Only
+  /// instances in the region that holds most of the group's databases count,
+  /// as long as the list names one that is live there: a region that is cut
+  /// off from the databases must not propose terms for them.
+  std::vector<std::string> Ranked(TimePoint now,
+                                  const std::string& group) const;
+  /// The same order as if nobody were suspected.
+  std::vector<std::string> Intended(const std::string& group) const;
+
+  /// Nothing when the name is not listed.
+  const Member* Find(const std::string& name) const;
+  /// Databases listed for the group, in order of name.
+  std::vector<Member> DatabasesOf(const std::string& group) const;
+  /// Live and leaving instances, in order of name.
+  std::vector<Member> instances() const;
+
+ private:
+  struct Suspicion {
+    TimePoint until;
+    std::chrono::milliseconds length{0};
+  };
+
+  std::string RegionOf(const std::string& group) const;
+  std::vector<const Member*> Candidates(const std::string& group) const;
+
+  RosterTiming timing_;
+  std::map<std::string, Member> members_;
+  std::map<std::string, std::vector<std::string>> databases_;
+  std::map<std::string, Suspicion> suspicions_;
+};
+
+}  // namespace ryefold::core::membership
