--- /dev/null
+++ b/src/ryefoldd/main.cc
@@ -0,0 +1,193 @@
+// ryefoldd: the daemon that every instance runs.
+
+#include <glog/logging.h>
+#include <signal.h>
+
+#include <atomic>
+#include <chrono>
+#include <cstring>
+#include <cxxopts.hpp>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <sstream>
+#include <string>
+#include <thread>
+
+#include "ryefold/settings/instance.h"
+#include "ryefold/task/supervisor.h"
+#include "ryefoldd/control_task.h"
+#include "ryefoldd/entry_task.h"
+#include "ryefoldd/keeper_task.h"
+#include "ryefoldd/messages.h"
+
+namespace ryefold::ryefoldd {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kExitOk = 0;
+constexpr int kExitFindings = 1;
+constexpr int kExitUsage = 2;
+constexpr int kExitGaveUp = 3;
+/// How long the daemon waits for its tasks to listen.
+constexpr milliseconds kStartBound{10000};
+constexpr milliseconds kPoll{20};
+/// How long a draining daemon waits for requests in progress: the longest
+/// deadline that a caller may state, and a little more.
+constexpr milliseconds kDrainBound{65000};
+/// Requests that peers were sending while the leave was being announced.
+constexpr milliseconds kDrainSettle{500};
+
+struct Flags {
+  std::string settings;
+  bool check = false;
+};
+
+/// Blocks the signals in this thread and all it starts, so that only `Serve`
+/// takes them.
+sigset_t BlockSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  signal(SIGPIPE, SIG_IGN);
+  return signals;
+}
+
+bool ReadFile(const std::string& path, std::string* text) {
+  std::ifstream file(path);
+  if (!file) return false;
+  std::ostringstream content;
+  content << file.rdbuf();
+  *text = content.str();
+  return true;
+}
+
+/// True when a signal arrived within `wait`.
+bool SignalArrived(const sigset_t& signals, milliseconds wait) {
+  timespec timeout{};
+  timeout.tv_sec = wait.count() / 1000;
+  timeout.tv_nsec = (wait.count() % 1000) * 1000000;
+  return sigtimedwait(&signals, nullptr, &timeout) > 0;
+}
+
+/// Leaves in an order that cuts nothing off: say so to the balancer and the
+/// peers, hand the groups over, then wait for what is in progress.
+void Drain(Wiring* wiring) {
+  LOG(INFO) << "event=drain_begin instance=" << wiring->settings.name;
+  wiring->leaving = true;
+  wiring->control.Send(BeginDrain{});
+  std::this_thread::sleep_for(wiring->settings.drain_notice);
+  wiring->keeper.Send(BeginDrain{});
+  wiring->entry.Send(BeginDrain{});
+  std::this_thread::sleep_for(kDrainSettle);
+  const auto bound = std::chrono::steady_clock::now() + kDrainBound;
+  while (std::chrono::steady_clock::now() < bound) {
+    const uint64_t left =
+        wiring->entry_in_progress + wiring->keeper_in_progress + wiring->keepers_open;
+    if (left == 0) break;
+    std::this_thread::sleep_for(kPoll);
+  }
+  LOG(INFO) << "event=drain_end entry_in_progress=" << wiring->entry_in_progress
+            << " keeper_in_progress=" << wiring->keeper_in_progress;
+}
+
+bool WaitUntilListening(const Wiring& wiring, const std::atomic<bool>& gave_up) {
+  const auto bound = std::chrono::steady_clock::now() + kStartBound;
+  while (!(wiring.entry_listening && wiring.peers_listening)) {
+    if (gave_up || std::chrono::steady_clock::now() > bound) return false;
+    std::this_thread::sleep_for(kPoll);
+  }
+  return true;
+}
+
+/// Children start in this order and stop in reverse, so the callers' port is
+/// the last to open and the first to close.
+void FillTree(task::Supervisor* supervisor, Wiring* wiring) {
+  supervisor->OnChild([wiring](const task::ChildEvent& event) {
+    if (event.failure.empty()) return;
+    LOG(ERROR) << "event=task_failed task=" << event.child << " restarted=" << event.restarted
+               << " failure=\"" << event.failure << "\"";
+    wiring->metrics.TaskRestarted(event.child);
+    if (event.child == "keeper") wiring->entry.Send(KeeperTaskFailed{});
+  });
+  supervisor->Add("control", [wiring] { return std::make_unique<ControlTask>(wiring); });
+  supervisor->Add("keeper", [wiring] { return std::make_unique<KeeperTask>(wiring); });
+  supervisor->Add("entry", [wiring] { return std::make_unique<EntryTask>(wiring); });
+}
+
+int Serve(const settings::InstanceSettings& instance) {
+  const sigset_t signals = BlockSignals();
+  Wiring wiring(instance);
+  task::Supervisor supervisor("ryefoldd", task::RestartLimit{});
+  FillTree(&supervisor, &wiring);
+  supervisor.Start();
+  std::atomic<bool> gave_up{false};
+  std::thread watcher([&supervisor, &gave_up] { gave_up = !supervisor.Wait(); });
+  if (WaitUntilListening(wiring, gave_up)) {
+    std::cout << "listening callers=" << instance.caller_address
+              << " peers=" << instance.peer_address << std::endl;
+    LOG(INFO) << "event=started instance=" << instance.name
+              << " failure_domain=" << instance.failure_domain;
+    while (!gave_up && !SignalArrived(signals, milliseconds(200))) {
+    }
+    if (!gave_up) Drain(&wiring);
+  }
+  const bool failed = gave_up || !wiring.entry_listening;
+  supervisor.Shutdown();
+  watcher.join();
+  if (failed) LOG(ERROR) << "event=gave_up instance=" << instance.name;
+  return failed ? kExitGaveUp : kExitOk;
+}
+
+int Run(const Flags& flags) {
+  std::string text;
+  if (!ReadFile(flags.settings, &text)) {
+    std::cerr << flags.settings << ": cannot be read: " << std::strerror(errno) << "\n";
+    return kExitUsage;
+  }
+  wire::Findings findings;
+  const settings::InstanceSettings instance =
+      settings::ParseInstanceSettings(flags.settings, text, &findings);
+  for (const wire::Finding& finding : findings) std::cerr << wire::ToText(finding) << "\n";
+  if (!findings.empty()) return kExitFindings;
+  if (flags.check) {
+    std::cout << flags.settings << ": no findings\n";
+    return kExitOk;
+  }
+  return Serve(instance);
+}
+
+}  // namespace
+}  // namespace ryefold::ryefoldd
+
+int main(int argc, char** argv) {
+  cxxopts::Options options("ryefoldd", "Database proxy with session consistency.");
+  options.add_options()("settings", "settings file, JSON with comments (docs/SETTINGS.md)",
+                        cxxopts::value<std::string>())(
+      "check-settings", "report every finding in the settings file and exit")("h,help",
+                                                                              "show this text");
+  ryefold::ryefoldd::Flags flags;
+  try {
+    const cxxopts::ParseResult parsed = options.parse(argc, argv);
+    if (parsed.count("help") > 0) {
+      std::cout << options.help() << "\nExit codes: 0 ended in order, 1 findings in the settings, "
+                                     "2 usage, 3 a task kept failing.\n";
+      return 0;
+    }
+    if (parsed.count("settings") == 0) {
+      std::cerr << "ryefoldd: --settings FILE is needed; see --help\n";
+      return ryefold::ryefoldd::kExitUsage;
+    }
+    flags.settings = parsed["settings"].as<std::string>();
+    flags.check = parsed.count("check-settings") > 0;
+  } catch (const cxxopts::OptionException& error) {
+    std::cerr << "ryefoldd: " << error.what() << "; see --help\n";
+    return ryefold::ryefoldd::kExitUsage;
+  }
+  FLAGS_logtostderr = true;
+  google::InitGoogleLogging(argv[0]);
+  return ryefold::ryefoldd::Run(flags);
+}
