Run tasks on loops under a supervisor tree

A task that throws is restarted on a fresh object and loop; more restarts than the limit allows end its supervisor, which counts as one failure one level up. A reader that throws leaves the rest of its mailbox batch to the next run.

--- a/src/include/ryefold/task/mailbox.h
+++ b/src/include/ryefold/task/mailbox.h
@@ -3,6 +3,7 @@
 // Typed message passing between tasks.
 
 #include <functional>
+#include <iterator>
 #include <memory>
 #include <mutex>
 #include <utility>
@@ -61,7 +62,23 @@
       batch.swap(waiting_);
       reader = reader_;
     }
-    for (Message& message : batch) reader(std::move(message));
+    size_t next = 0;
+    try {
+      while (next < batch.size()) reader(std::move(batch[next++]));
+    } catch (...) {
+      PutBack(&batch, next);
+      throw;
+    }
+  }
+
+  /// A reader that fails would take the rest of its batch with it, and their
+  /// senders would wait for answers in vain. The rest goes back to the front
+  /// for the next run; only the message that was being read is gone.
+  void PutBack(std::vector<Message>* batch, size_t from) {
+    std::lock_guard<std::mutex> lock(mutex_);
+    waiting_.insert(waiting_.begin(),
+                    std::make_move_iterator(batch->begin() + from),
+                    std::make_move_iterator(batch->end()));
   }
 
   const size_t limit_;
--- a/src/include/ryefold/task/supervisor.h
+++ b/src/include/ryefold/task/supervisor.h
@@ -68,9 +68,13 @@
   /// ordinary end, false when it gave up.
   bool Wait();
 
-  /// Ends all children in reverse order. May be called from any thread.
+  /// Ends all children in reverse order. May be called from any thread; on a
+  /// child's own thread it only asks, and `Wait` does the rest.
   void Shutdown();
 
+  /// Asks `Wait` to end all children; returns at once, on any thread.
+  void RequestShutdown();
+
   /// Restarts counted so far, of all children.
   uint64_t restarts() const;
 
--- /dev/null
+++ b/src/libtask/supervisor.cc
@@ -0,0 +1,305 @@
+#include "ryefold/task/supervisor.h"
+
+#include <glog/logging.h>
+
+#include <condition_variable>
+#include <deque>
+#include <exception>
+#include <mutex>
+#include <thread>
+#include <utility>
+
+namespace ryefold::task {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+/// Set on every child's thread. Joining children there would wait for itself.
+thread_local bool on_child_thread = false;
+
+std::string Text(const std::exception_ptr& failure) {
+  try {
+    std::rethrow_exception(failure);
+  } catch (const std::exception& e) {
+    return e.what()[0] == '\0' ? "exception" : e.what();
+  } catch (...) {
+    return "exception of unknown type";
+  }
+}
+
+/// Runs `step`; the text of its failure, empty when there was none.
+template <class Step>
+std::string Attempt(const Step& step) {
+  try {
+    step();
+    return {};
+  } catch (...) {
+    return Text(std::current_exception());
+  }
+}
+
+/// Counts restarts within the sliding time that a limit allows.
+class RestartCounter {
+ public:
+  explicit RestartCounter(RestartLimit limit) : limit_(limit) {}
+
+  /// Notes a restart; false when it would be one too many.
+  bool Take(Clock::time_point now) {
+    while (!until_.empty() && until_.front() <= now) until_.pop_front();
+    if (until_.size() >= limit_.restarts) return false;
+    until_.push_back(now + limit_.within);
+    return true;
+  }
+
+ private:
+  const RestartLimit limit_;
+  /// When each counted restart ceases to count.
+  std::deque<Clock::time_point> until_;
+};
+
+/// One run of a child, on the child's thread.
+class Run {
+ public:
+  virtual ~Run() = default;
+  /// Blocks until the run is over; `started` is called once it is set up. The
+  /// text of the failure, empty on an ordinary end.
+  virtual std::string Execute(const std::function<void()>& started) = 0;
+  /// Asks for the end, from any thread, also before `Execute`.
+  virtual void End() = 0;
+};
+
+class TaskRun : public Run {
+ public:
+  explicit TaskRun(Supervisor::Factory factory)
+      : factory_(std::move(factory)) {}
+
+  std::string Execute(const std::function<void()>& started) override {
+    std::unique_ptr<Task> task;
+    std::string failure = Attempt([&] { task = factory_(); });
+    if (task == nullptr) return failure.empty() ? "no task made" : failure;
+    failure = Attempt([&] {
+      task->Start(&loop_);
+      started();
+      loop_.Run();
+    });
+    const std::string stop = Attempt([&] { task->Stop(); });
+    return failure.empty() ? stop : failure;
+  }
+
+  void End() override { loop_.Stop(); }
+
+ private:
+  Supervisor::Factory factory_;
+  Loop loop_;
+};
+
+class SupervisorRun : public Run {
+ public:
+  SupervisorRun(std::string name, RestartLimit limit)
+      : supervisor_(std::move(name), limit) {}
+
+  Supervisor* supervisor() { return &supervisor_; }
+
+  std::string Execute(const std::function<void()>& started) override {
+    supervisor_.Start();
+    started();
+    return supervisor_.Wait() ? "" : "restart limit exceeded";
+  }
+
+  void End() override { supervisor_.RequestShutdown(); }
+
+ private:
+  Supervisor supervisor_;
+};
+
+}  // namespace
+
+class Supervisor::Impl {
+ public:
+  using MakeRun = std::function<std::shared_ptr<Run>()>;
+
+  Impl(std::string name, RestartLimit limit)
+      : name_(std::move(name)), counter_(limit) {}
+
+  ~Impl() {
+    RequestShutdown();
+    StopChildren();
+  }
+
+  void Add(std::string child, MakeRun make) {
+    children_.push_back(std::make_unique<Child>());
+    children_.back()->name = std::move(child);
+    children_.back()->make = std::move(make);
+  }
+
+  void OnChild(std::function<void(const ChildEvent&)> listener) {
+    listener_ = std::move(listener);
+  }
+
+  void Start() {
+    for (const auto& child : children_) {
+      std::unique_lock<std::mutex> lock(mutex_);
+      if (ending()) return;
+      child->thread = std::thread([this, c = child.get()] { Live(c); });
+      changed_.wait(lock, [&] { return child->up || child->over; });
+    }
+  }
+
+  bool Wait() {
+    {
+      std::unique_lock<std::mutex> lock(mutex_);
+      changed_.wait(lock, [this] { return ending(); });
+    }
+    StopChildren();
+    std::lock_guard<std::mutex> lock(mutex_);
+    return !gave_up_;
+  }
+
+  void RequestShutdown() {
+    std::lock_guard<std::mutex> lock(mutex_);
+    shutdown_ = true;
+    changed_.notify_all();
+  }
+
+  void Shutdown() {
+    RequestShutdown();
+    if (!on_child_thread) StopChildren();
+  }
+
+  uint64_t restarts() const {
+    std::lock_guard<std::mutex> lock(mutex_);
+    return restarts_;
+  }
+
+ private:
+  struct Child {
+    std::string name;
+    MakeRun make;
+    std::thread thread;
+    /// The run under way, so that it can be ended.
+    std::shared_ptr<Run> run;
+    bool up = false;
+    bool over = false;
+    bool ending = false;
+  };
+
+  bool ending() const { return shutdown_ || gave_up_; }
+
+  /// The child's thread: one run after the other until it is to end.
+  void Live(Child* child) {
+    on_child_thread = true;
+    while (true) {
+      std::string failure = RunOnce(child);
+      const bool again = !failure.empty() && MayRestart();
+      Report(*child, failure, again);
+      if (!again) break;
+    }
+    std::lock_guard<std::mutex> lock(mutex_);
+    child->over = true;
+    changed_.notify_all();
+  }
+
+  std::string RunOnce(Child* child) {
+    std::shared_ptr<Run> run;
+    std::string failure = Attempt([&] { run = child->make(); });
+    if (run == nullptr) return failure;
+    {
+      std::lock_guard<std::mutex> lock(mutex_);
+      if (child->ending) return {};
+      child->run = run;
+    }
+    failure = run->Execute([this, child] {
+      std::lock_guard<std::mutex> lock(mutex_);
+      child->up = true;
+      changed_.notify_all();
+    });
+    std::lock_guard<std::mutex> lock(mutex_);
+    child->run.reset();
+    return failure;
+  }
+
+  bool MayRestart() {
+    std::lock_guard<std::mutex> lock(mutex_);
+    if (ending()) return false;
+    if (counter_.Take(Clock::now())) {
+      ++restarts_;
+      return true;
+    }
+    gave_up_ = true;
+    changed_.notify_all();
+    return false;
+  }
+
+  void Report(const Child& child, const std::string& failure, bool again) {
+    if (!failure.empty()) {
+      LOG(ERROR) << "task_failed supervisor=" << name_
+                 << " child=" << child.name << " restarted=" << again
+                 << " failure=\"" << failure << '"';
+    }
+    if (!listener_) return;
+    const std::string thrown = Attempt([&] {
+      listener_({child.name, failure, again});
+    });
+    LOG_IF(ERROR, !thrown.empty()) << "listener_failed supervisor=" << name_
+                                   << " failure=\"" << thrown << '"';
+  }
+
+  /// Ends the children one after the other, the last one first, so that each
+  /// still finds those it depends on.
+  void StopChildren() {
+    std::lock_guard<std::mutex> stopping(stop_mutex_);
+    for (auto child = children_.rbegin(); child != children_.rend(); ++child) {
+      std::shared_ptr<Run> run;
+      {
+        std::lock_guard<std::mutex> lock(mutex_);
+        (*child)->ending = true;
+        run = (*child)->run;
+      }
+      if (run != nullptr) run->End();
+      if ((*child)->thread.joinable()) (*child)->thread.join();
+    }
+  }
+
+  const std::string name_;
+  std::vector<std::unique_ptr<Child>> children_;
+  std::function<void(const ChildEvent&)> listener_;
+  std::mutex stop_mutex_;
+  mutable std::mutex mutex_;
+  std::condition_variable changed_;
+  RestartCounter counter_;
+  uint64_t restarts_ = 0;
+  bool shutdown_ = false;
+  bool gave_up_ = false;
+};
+
+Supervisor::Supervisor(std::string name, RestartLimit limit)
+    : impl_(std::make_unique<Impl>(std::move(name), limit)) {}
+Supervisor::~Supervisor() = default;
+
+void Supervisor::Add(std::string child, Factory factory) {
+  impl_->Add(std::move(child), [factory = std::move(factory)] {
+    return std::make_shared<TaskRun>(factory);
+  });
+}
+
+void Supervisor::AddSupervisor(std::string child, RestartLimit limit,
+                               std::function<void(Supervisor*)> fill) {
+  std::string name = child;
+  impl_->Add(std::move(child), [name, limit, fill = std::move(fill)] {
+    auto run = std::make_shared<SupervisorRun>(name, limit);
+    fill(run->supervisor());
+    return run;
+  });
+}
+
+void Supervisor::OnChild(std::function<void(const ChildEvent&)> listener) {
+  impl_->OnChild(std::move(listener));
+}
+
+void Supervisor::Start() { impl_->Start(); }
+bool Supervisor::Wait() { return impl_->Wait(); }
+void Supervisor::Shutdown() { impl_->Shutdown(); }
+void Supervisor::RequestShutdown() { impl_->RequestShutdown(); }
+uint64_t Supervisor::restarts() const { return impl_->restarts(); }
+
+}  // namespace ryefold::task
