--- a/src/include/ryefold/wire/http.h
+++ b/src/include/ryefold/wire/http.h
@@ -83,8 +83,9 @@
   size_t in_progress() const;
   size_t connections() const;
 
- private:
   class Impl;
+
+ private:
   std::unique_ptr<Impl> impl_;
 };
 
@@ -111,6 +112,7 @@
   /// a request under way is answered (`kLost`) before that.
   HttpConnection(event_base* base, const std::string& address,
                  std::function<void()> lost);
+  /// Closes at once; no callback comes any more.
   ~HttpConnection();
   HttpConnection(const HttpConnection&) = delete;
   HttpConnection& operator=(const HttpConnection&) = delete;
@@ -120,12 +122,15 @@
             const std::string& body, core::TimePoint deadline, Done done,
             const std::map<std::string, std::string>& headers = {});
   bool busy() const;
+  /// Whether another request can be sent; false once it has broken.
+  bool open() const;
   /// Closes at once; no callback comes any more.
   void Close();
 
  private:
   class Impl;
-  std::unique_ptr<Impl> impl_;
+  /// Shared with callbacks, in which the connection may be destroyed.
+  std::shared_ptr<Impl> impl_;
 };
 
 /// Makes one call on a connection of its own or a kept idle one; used for
--- /dev/null
+++ b/src/libwire/net.cc
@@ -0,0 +1,111 @@
+#include "net.h"
+
+#include <arpa/inet.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+#include <system_error>
+
+namespace ryefold::wire {
+namespace {
+
+constexpr int kBacklog = 1024;
+
+}  // namespace
+
+namespace {
+
+/// An endpoint as the socket calls want it; `size` is 0 when it is none.
+struct SocketAddress {
+  sockaddr_storage storage{};
+  socklen_t size = 0;
+
+  sockaddr* any() { return reinterpret_cast<sockaddr*>(&storage); }
+};
+
+SocketAddress ToSocketAddress(const Endpoint& endpoint) {
+  SocketAddress address;
+  auto* v4 = reinterpret_cast<sockaddr_in*>(&address.storage);
+  if (inet_pton(AF_INET, endpoint.ip.c_str(), &v4->sin_addr) == 1) {
+    v4->sin_family = AF_INET;
+    v4->sin_port = htons(endpoint.port);
+    address.size = sizeof(*v4);
+    return address;
+  }
+  auto* v6 = reinterpret_cast<sockaddr_in6*>(&address.storage);
+  if (inet_pton(AF_INET6, endpoint.ip.c_str(), &v6->sin6_addr) == 1) {
+    v6->sin6_family = AF_INET6;
+    v6->sin6_port = htons(endpoint.port);
+    address.size = sizeof(*v6);
+  }
+  return address;
+}
+
+}  // namespace
+
+Endpoint ParseEndpoint(const std::string& address) {
+  Endpoint endpoint;
+  const size_t colon = address.rfind(':');
+  if (colon == std::string::npos) return endpoint;
+  endpoint.ip = address.substr(0, colon);
+  if (endpoint.ip.size() > 2 && endpoint.ip.front() == '[') {
+    endpoint.ip = endpoint.ip.substr(1, endpoint.ip.size() - 2);
+  }
+  const char* end = address.data() + address.size();
+  const auto [rest, error] =
+      std::from_chars(address.data() + colon + 1, end, endpoint.port);
+  endpoint.ok = error == std::errc() && rest == end &&
+                ToSocketAddress(endpoint).size != 0;
+  return endpoint;
+}
+
+void SetNoDelay(evutil_socket_t fd) {
+  const int on = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
+
+timeval ToTimeval(std::chrono::microseconds duration) {
+  constexpr int64_t kMicros = 1000000;
+  const int64_t count = duration.count() < 0 ? 0 : duration.count();
+  return {static_cast<time_t>(count / kMicros),
+          static_cast<suseconds_t>(count % kMicros)};
+}
+
+evconnlistener* Bind(event_base* base, const std::string& address,
+                     std::string* error) {
+  const Endpoint endpoint = ParseEndpoint(address);
+  if (!endpoint.ok) {
+    *error = "not an ip:port: " + address;
+    return nullptr;
+  }
+  SocketAddress bound = ToSocketAddress(endpoint);
+  const unsigned options =
+      LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC;
+  evconnlistener* listener =
+      evconnlistener_new_bind(base, nullptr, nullptr, options, kBacklog,
+                              bound.any(), static_cast<int>(bound.size));
+  if (listener == nullptr) {
+    *error = "cannot listen on " + address + ": " + strerror(errno);
+    return nullptr;
+  }
+  SetNoDelay(evconnlistener_get_fd(listener));
+  return listener;
+}
+
+uint16_t PortOf(evutil_socket_t fd) {
+  sockaddr_storage storage{};
+  socklen_t size = sizeof(storage);
+  if (getsockname(fd, reinterpret_cast<sockaddr*>(&storage), &size) != 0) {
+    return 0;
+  }
+  if (storage.ss_family == AF_INET) {
+    return ntohs(reinterpret_cast<sockaddr_in*>(&storage)->sin_port);
+  }
+  return ntohs(reinterpret_cast<sockaddr_in6*>(&storage)->sin6_port);
+}
+
+}  // namespace ryefold::wire
