--- a/src/include/ryefold/wire/document.h
+++ b/src/include/ryefold/wire/document.h
@@ -40,7 +40,8 @@
 /// reports members that nobody asked for, with the nearest known name.
 class Reader {
  public:
-  /// The root object of `document`.
+  /// The root object of `document`. When the document is not sound, its
+  /// findings are added and every accessor gives its default.
   Reader(Document* document, Findings* findings);
 
   std::string String(std::string_view name, std::string_view otherwise = {});
