Session tokens: text form, cut back, and a safe rule for many groups

A token carries at most 64 groups. A session that touches more does not lose any position: the groups touched first keep theirs, and the token remembers that others did not fit; reads of those have to be current (age 0), which covers every acknowledged write. Forgetting the position without that mark would let a later read miss the session's own write.

Positions are cut back by the term starts of a group; an entry also counts as gone when its whole term is missing from the log.

The comparison operators in types.h carry NOLINT: clang-tidy takes the hidden zero of a rewritten <=> for a null pointer wherever it is used.

--- a/src/include/ryefold/core/types.h
+++ b/src/include/ryefold/core/types.h
@@ -22,7 +22,7 @@
   /// Ordinal of the entry in the log, from 1.
   uint64_t index = 0;
 
-  auto operator<=>(const LogPosition&) const = default;
+  auto operator<=>(const LogPosition&) const = default;  // NOLINT
 };
 
 /// Where a term begins: `index` is the first entry written under `term`.
@@ -31,7 +31,7 @@
   uint64_t term = 0;
   uint64_t index = 0;
 
-  auto operator<=>(const TermStart&) const = default;
+  auto operator<=>(const TermStart&) const = default;  // NOLINT
 };
 
 }  // namespace ryefold::core
--- /dev/null
+++ b/testsuite/session_token/token_test.cc
@@ -0,0 +1,189 @@
+#include "ryefold/core/session/token.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace ryefold::core::session {
+namespace {
+
+// A log is the term of each of its entries. Two entries are the same entry
+// when term and index are equal, as in Raft.
+using Log = std::vector<uint64_t>;
+
+std::vector<TermStart> StartsOf(const Log& log) {
+  std::vector<TermStart> starts;
+  for (size_t i = 0; i < log.size(); ++i) {
+    if (i > 0 && log[i] == log[i - 1]) continue;
+    starts.push_back({log[i], i + 1});
+  }
+  return starts;
+}
+
+LogPosition LastOf(const Log& log) {
+  return log.empty() ? LogPosition() : LogPosition{log.back(), log.size()};
+}
+
+// All logs that a run of promotions leaves behind, one per term: each new
+// primary takes some log, keeps all of it or the part that it had received,
+// and appends entries of its own term.
+std::vector<Log> SomeHistory() {
+  std::vector<Log> logs(1);
+  const uint64_t terms = *rc::gen::inRange<uint64_t>(1, 7);
+  for (uint64_t term = 1; term <= terms; ++term) {
+    const size_t from = *rc::gen::inRange<size_t>(0, logs.size());
+    const size_t kept = *rc::gen::inRange<size_t>(0, logs[from].size() + 1);
+    Log log(logs[from].begin(),
+            logs[from].begin() + static_cast<std::ptrdiff_t>(kept));
+    log.resize(kept + *rc::gen::inRange<size_t>(1, 6), term);
+    logs.push_back(std::move(log));
+  }
+  logs.erase(logs.begin());
+  return logs;
+}
+
+size_t CommonPrefix(const Log& a, const Log& b) {
+  size_t i = 0;
+  while (i < a.size() && i < b.size() && a[i] == b[i]) ++i;
+  return i;
+}
+
+Token SomeToken(size_t max_groups) {
+  Token token;
+  const size_t groups = *rc::gen::inRange<size_t>(0, max_groups + 1);
+  for (size_t i = 0; i < groups; ++i) {
+    const auto name = *rc::gen::resize(20, rc::gen::arbitrary<std::string>());
+    token.seen[name] = {*rc::gen::arbitrary<uint64_t>(),
+                        *rc::gen::arbitrary<uint64_t>()};
+  }
+  token.overflow = *rc::gen::arbitrary<bool>();
+  std::erase_if(token.seen,
+                [](const auto& e) { return e.second == LogPosition(); });
+  return token;
+}
+
+RC_GTEST_PROP(SessionToken, RoundTripsInSafeCharacters, ()) {
+  const Token token = SomeToken(kMaxGroups);
+  const std::string text = Encode(token);
+  RC_ASSERT(Decode(text) == token);
+  RC_ASSERT(std::all_of(text.begin(), text.end(), [](unsigned char c) {
+    return std::isalnum(c) != 0 || c == '-' || c == '_';
+  }));
+}
+
+// A caller or a proxy on the way cuts a token short or changes a character. A
+// damaged token taken for a smaller one would let the session miss its own
+// writes.
+RC_GTEST_PROP(SessionToken, DamageIsNoticed, ()) {
+  std::string text = Encode(SomeToken(8));
+  const size_t at = *rc::gen::inRange<size_t>(0, text.size());
+  if (*rc::gen::arbitrary<bool>()) {
+    const char c = *rc::gen::distinctFrom(text[at]);
+    text[at] = c;
+  } else if (at > 0) {
+    text.resize(at);
+  } else {
+    text += 'A';
+  }
+  RC_ASSERT(!Decode(text).has_value());
+}
+
+RC_GTEST_PROP(SessionToken, ArbitraryTextIsNoToken, (const std::string& text)) {
+  if (!text.empty()) RC_ASSERT(!Decode(text).has_value());
+}
+
+TEST(SessionToken, EmptyTextIsAnEmptyToken) {
+  EXPECT_EQ(Decode(""), Token());
+  EXPECT_EQ(Decode(Encode(Token())), Token());
+}
+
+RC_GTEST_PROP(SessionToken, AdvanceNeverLowers,
+              (const std::vector<std::pair<uint8_t, uint8_t>>& steps)) {
+  Token token;
+  LogPosition highest;
+  for (const auto& [term, index] : steps) {
+    const LogPosition step{term, index};
+    highest = std::max(highest, step);
+    Advance(&token, "g", step);
+    RC_ASSERT(NeedOf(token, "g").seen == highest);
+  }
+}
+
+// A session works with more groups than a token holds, writes to one that did
+// not fit and reads it back from a replica that lags. If the position were
+// just dropped, the read would not show the write.
+RC_GTEST_PROP(SessionToken, AGroupThatDoesNotFitIsReadCurrent, ()) {
+  Token token;
+  const size_t groups = *rc::gen::inRange<size_t>(1, 3 * kMaxGroups);
+  for (size_t i = 0; i < groups; ++i) {
+    Advance(&token, "group" + std::to_string(i), {1, i + 1});
+  }
+  const auto sent = Decode(Encode(token));
+  RC_ASSERT(sent.has_value());
+  RC_ASSERT(sent->seen.size() <= kMaxGroups);
+  for (size_t i = 0; i < groups; ++i) {
+    const Need need = NeedOf(*sent, "group" + std::to_string(i));
+    RC_ASSERT(need.current || need.seen == (LogPosition{1, i + 1}));
+  }
+}
+
+TEST(SessionToken, ATokenWithTooManyGroupsIsEncodedByTheSameRule) {
+  Token token;
+  for (size_t i = 0; i < 2 * kMaxGroups; ++i) {
+    token.seen["group" + std::to_string(i)] = {1, i + 1};
+  }
+  token.seen[std::string(kMaxGroupName + 1, 'x')] = {1, 1};
+  const auto sent = Decode(Encode(token));
+  ASSERT_TRUE(sent.has_value());
+  EXPECT_EQ(sent->seen.size(), kMaxGroups);
+  EXPECT_TRUE(sent->overflow);
+}
+
+TEST(SessionToken, SessionsInFewGroupsStayExact) {
+  Token token;
+  Advance(&token, "a", {1, 5});
+  EXPECT_FALSE(NeedOf(token, "b").current);
+}
+
+RC_GTEST_PROP(SessionToken, CoversSaysWhetherTheEntryIsInTheLog, ()) {
+  const auto logs = SomeHistory();
+  const Log& log = *rc::gen::elementOf(logs);
+  const Log& other = *rc::gen::elementOf(logs);
+  const size_t index = *rc::gen::inRange<size_t>(1, other.size() + 1);
+  const LogPosition position{other[index - 1], index};
+  RC_ASSERT(Covers(LastOf(log), StartsOf(log), position) ==
+            (CommonPrefix(log, other) >= index));
+}
+
+// A session has read a write that was never acknowledged, and a promotion has
+// discarded it. No database will ever hold that entry; a session that waited
+// for it would wait until the deadline of every read it makes.
+RC_GTEST_PROP(SessionToken, CutBackNamesWhatStillExistsAndKeepsTheRest, ()) {
+  const auto logs = SomeHistory();
+  const Log& seen = *rc::gen::elementOf(logs);
+  const Log& now = logs.back();
+  const size_t index = *rc::gen::inRange<size_t>(1, seen.size() + 1);
+  const LogPosition position{seen[index - 1], index};
+  const LogPosition cut = CutBack(position, StartsOf(now));
+  RC_ASSERT(cut.index <= position.index);
+  RC_ASSERT(cut.index >= std::min(index, CommonPrefix(seen, now)));
+  RC_ASSERT(Covers(LastOf(now), StartsOf(now), cut) ||
+            position.term == LastOf(now).term);
+  RC_ASSERT(CutBack(cut, StartsOf(now)) == cut);
+}
+
+TEST(SessionToken, CutBackToTheEntryBeforeTheNewTerm) {
+  const std::vector<TermStart> starts = {{1, 1}, {2, 90}};
+  EXPECT_EQ(CutBack({1, 100}, starts), (LogPosition{1, 89}));
+  EXPECT_EQ(CutBack({1, 80}, starts), (LogPosition{1, 80}));
+  EXPECT_EQ(CutBack({2, 95}, starts), (LogPosition{2, 95}));
+  EXPECT_EQ(CutBack({3, 200}, starts), (LogPosition{3, 200}));
+  EXPECT_EQ(CutBack({1, 5}, {}), (LogPosition{1, 5}));
+  EXPECT_EQ(CutBack({1, 5}, {{2, 1}}), LogPosition());
+}
+
+}  // namespace
+}  // namespace ryefold::core::session
