--- /dev/null
+++ b/testsuite/routing_age/age_test.cc
@@ -0,0 +1,122 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <vector>
+
+#include "ryefold/core/routing/router.h"
+
+namespace ryefold::core::routing {
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+TimePoint At(int64_t us) { return TimePoint(microseconds(us)); }
+
+// A primary that writes at known times, so that the true age of each
+// position can be told.
+class Primary {
+ public:
+  void Write(int64_t us) { written_.push_back(us); }
+  LogPosition last() const { return {1, written_.size()}; }
+  milliseconds TrueAge(int64_t now_us, uint64_t index) const {
+    if (index >= written_.size()) return milliseconds(0);
+    const int64_t next_written = written_[index];
+    return std::chrono::ceil<milliseconds>(microseconds(now_us - next_written));
+  }
+
+ private:
+  std::vector<int64_t> written_;
+};
+
+// A keeper hears of a write some time after it was made, or starts when the
+// replica is far behind already. A gate that accepts data of one second would
+// be shown a result that is older than that.
+RC_GTEST_PROP(AgeTracker, NeverTellsLessThanTheTrueAge, ()) {
+  Primary primary;
+  AgeTracker tracker;
+  int64_t now = 1;
+  int64_t seen_at = 0;
+  const auto steps =
+      *rc::gen::container<std::vector<std::pair<bool, uint16_t>>>(rc::gen::pair(
+          rc::gen::arbitrary<bool>(), rc::gen::inRange<uint16_t>(0, 50000)));
+  for (const auto& [write, pause_us] : steps) {
+    now += pause_us;
+    if (write) {
+      primary.Write(now);
+    } else {
+      tracker.PrimaryAt(At(now), primary.last());
+      seen_at = now;
+    }
+    const auto index = *rc::gen::inRange<uint64_t>(0, primary.last().index + 1);
+    const int64_t asked = now + *rc::gen::inRange<int64_t>(0, 5000);
+    RC_ASSERT(tracker.AgeAt(At(asked), {1, index}, At(seen_at)) >=
+              primary.TrueAge(asked, index));
+  }
+}
+
+// Thousands of writes a second for minutes: the tracker must neither grow
+// without end nor lose so much that reads which accept seconds go to the
+// primary.
+TEST(AgeTracker, StaysSmallAndCloseUnderManyWrites) {
+  constexpr int64_t kStep = 500;
+  constexpr int64_t kWrites = 600000;
+  Primary primary;
+  AgeTracker tracker;
+  size_t most = 0;
+  for (int64_t i = 1; i <= kWrites; ++i) {
+    primary.Write(i * kStep);
+    tracker.PrimaryAt(At(i * kStep), primary.last());
+    most = std::max(most, tracker.marks());
+  }
+  EXPECT_LE(most, kMaxMarks);
+  const int64_t now = kWrites * kStep;
+  for (uint64_t back = 1; back < kWrites; back = back * 5 / 4 + 1) {
+    const uint64_t index = kWrites - back;
+    const milliseconds truth = primary.TrueAge(now, index);
+    const milliseconds told = tracker.AgeAt(At(now), {1, index}, At(now));
+    EXPECT_GE(told, truth);
+    // Two thinning errors may add up: one before, one after aging.
+    EXPECT_LE(told, truth + truth / 3 + milliseconds(2)) << back;
+  }
+}
+
+TEST(AgeTracker, LevelReplicaIsAsOldAsTheConfirmation) {
+  AgeTracker tracker;
+  tracker.PrimaryAt(At(1000), {1, 10});
+  EXPECT_EQ(tracker.AgeAt(At(1000), {1, 10}, At(1000)), milliseconds(0));
+  EXPECT_EQ(tracker.AgeAt(At(5000), {1, 10}, At(1000)), milliseconds(4));
+  EXPECT_EQ(tracker.AgeAt(At(5001), {1, 10}, At(1000)), milliseconds(5));
+}
+
+// The read arrives, then a confirmation begun after that finds the primary
+// level with the replica, then the primary moves on. As of its arrival the
+// read gets everything.
+TEST(AgeTracker, AgeAsOfArrival) {
+  AgeTracker tracker;
+  tracker.PrimaryAt(At(2000), {1, 10});
+  tracker.PrimaryAt(At(3000), {1, 11});
+  EXPECT_EQ(tracker.AgeAt(At(1500), {1, 10}, At(1600)), milliseconds(0));
+  EXPECT_EQ(tracker.AgeAt(At(2000), {1, 10}, At(2000)), milliseconds(1));
+}
+
+// A new keeper finds a replica that stopped receiving yesterday. It has no
+// idea since when the primary is past it.
+TEST(AgeTracker, WhatLiesBeforeTheFirstMarkIsOfUnknownAge) {
+  AgeTracker tracker;
+  EXPECT_EQ(tracker.AgeAt(At(1), {1, 1}, At(1)), kUnknownAge);
+  tracker.PrimaryAt(At(1000), {1, 100});
+  EXPECT_EQ(tracker.AgeAt(At(1000), {1, 99}, At(1000)), kUnknownAge);
+  EXPECT_EQ(tracker.AgeAt(At(1000), {1, 100}, At(1000)), milliseconds(0));
+}
+
+TEST(AgeTracker, ALateAnswerDoesNotMakeDataYounger) {
+  AgeTracker tracker;
+  tracker.PrimaryAt(At(1000), {1, 10});
+  tracker.PrimaryAt(At(2000), {1, 11});
+  tracker.PrimaryAt(At(9000), {1, 10});
+  EXPECT_EQ(tracker.AgeAt(At(9000), {1, 10}, At(9000)), milliseconds(8));
+}
+
+}  // namespace
+}  // namespace ryefold::core::routing
