--- a/src/include/ryefold/core/configuration/messages.h
+++ b/src/include/ryefold/core/configuration/messages.h
@@ -3,6 +3,7 @@
 // What instances tell one another about configuration and membership, and
 // what they keep in the platform's key-value service.
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -19,7 +20,7 @@
 /// or is leaving. Passed on while new, forgotten after a few minutes.
 struct Notice {
   membership::Member member;
-  /// Rises with each notice of one run of the instance.
+  /// The highest one of an instance counts.
   uint64_t sequence = 0;
 };
 
@@ -29,7 +30,9 @@
 /// was in force.
 struct DocumentBlock {
   std::vector<Document> documents;
-  /// Everything up to this version is in the blocks so far.
+  /// The block holds every document with a version above `after` and up to
+  /// `through`, as the sender has it.
+  uint64_t after = 0;
   uint64_t through = 0;
   /// With this block the receiver holds the sender's whole state.
   bool complete = false;
@@ -39,33 +42,40 @@
 struct MemberBlock {
   std::vector<membership::Member> changed;
   std::vector<std::string> removed;
+  /// The list version that the block adds to.
+  uint64_t after = 0;
   /// Replaces the whole list instead of changing it.
   bool full = false;
 };
 
-/// Compares revisions; sent to one peer a second, and to a few when there is
-/// news. Carries documents and members only where the receiver is known to
-/// lack them.
-struct Exchange {
-  std::string from;
+/// What one side has and lacks.
+struct Standing {
   uint64_t revision = 0;
   uint64_t list_version = 0;
   /// Whether the sender itself knows what is in force.
   bool ready = false;
+  /// Time since the store last answered any instance, as far as is known.
+  std::chrono::milliseconds store_age{0};
+  /// Documents above this version are wanted. `want_documents` is false while
+  /// they are being fetched from another peer, so that a text is not sent
+  /// to one instance several times over.
+  uint64_t have_documents = 0;
+  bool want_documents = false;
+  bool want_members = false;
+};
+
+/// Compares standings; sent to one peer a second, and to a few when there is
+/// news. Documents and members go only to a side known to lack them.
+struct Exchange {
+  std::string from;
+  Standing standing;
   DocumentBlock documents;
   MemberBlock members;
   std::vector<Notice> notices;
 };
 
 struct ExchangeReply {
-  uint64_t revision = 0;
-  uint64_t list_version = 0;
-  bool ready = false;
-  /// Send documents above `have_documents`; false when they are being fetched
-  /// from another peer already, so that a text crosses each link once.
-  bool want_documents = false;
-  uint64_t have_documents = 0;
-  bool want_members = false;
+  Standing standing;
   DocumentBlock documents;
   MemberBlock members;
 };
--- a/src/include/ryefold/core/configuration/node.h
+++ b/src/include/ryefold/core/configuration/node.h
@@ -217,6 +217,9 @@
   std::chrono::milliseconds peer_timeout{1000};
   /// Silence of store and peers after which the node is not ready.
   std::chrono::milliseconds silence{5000};
+  /// Rises from one run of an instance name to the next, so that a new run's
+  /// notices overrule its predecessor's; milliseconds of the wall clock do.
+  uint64_t incarnation = 1;
   uint64_t seed = 1;
 };
 
