--- a/src/libcore/configuration/archive.cc
+++ b/src/libcore/configuration/archive.cc
@@ -9,6 +9,9 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kCheckInterval{10000};
+/// Between two emptied keys, so that clearing up leaves the store's rate of
+/// writes to others.
+constexpr milliseconds kEmptyPause{20};
 
 const StoreRead* ReadOf(const StoreAnswer* answer) {
   return answer == nullptr ? nullptr : std::get_if<StoreRead>(answer);
@@ -85,6 +88,7 @@
 }
 
 void SnapshotWriter::Tick(TimePoint now) {
+  if (next_empty_ <= now) EmptyNext(now);
   if (next_check_ > now) return;
   next_check_ = now + kCheckInterval;
   const bool due = context_->documents.revision() >=
@@ -101,12 +105,6 @@
                       });
 }
 
-void SnapshotWriter::Stop(TimePoint now) {
-  busy_ = false;
-  parts_.clear();
-  next_check_ = now + kCheckInterval;
-}
-
 void SnapshotWriter::PointerRead(TimePoint now, const StoreAnswer* answer) {
   const StoreRead* read = ReadOf(answer);
   if (read == nullptr) {
@@ -140,53 +138,78 @@
     return;
   }
   const std::string key = new_.prefix + "/" + std::to_string(next_part_);
-  context_->CallStore(
-      now, StorePut{key, SnapshotPart{parts_[next_part_]}, 0},
-      [this](TimePoint when, const StoreAnswer* answer) {
-        const auto* done =
-            answer == nullptr ? nullptr : std::get_if<StorePutDone>(answer);
-        if (done == nullptr || !done->done) {
-          Stop(when);
-          return;
-        }
-        ++next_part_;
-        WritePart(when);
-      });
+  context_->CallStore(now, StorePut{key, SnapshotPart{parts_[next_part_]}, 0},
+                      [this](TimePoint when, const StoreAnswer* answer) {
+                        if (answer == nullptr) {
+                          Stop(when);
+                          return;
+                        }
+                        // A part that is there already is this writer's own,
+                        // from a put whose answer was lost.
+                        ++next_part_;
+                        WritePart(when);
+                      });
 }
 
 void SnapshotWriter::WritePointer(TimePoint now) {
-  context_->CallStore(
-      now, StorePut{SnapshotKey(), new_, pointer_version_},
-      [this](TimePoint when, const StoreAnswer* answer) {
-        const auto* done =
-            answer == nullptr ? nullptr : std::get_if<StorePutDone>(answer);
-        if (done == nullptr || !done->done) {
-          Stop(when);
-          return;
-        }
-        last_known_ = new_.revision;
-        pointer_version_ = done->version;
-        parts_.clear();
-        Trim(when);
-      });
+  context_->CallStore(now, StorePut{SnapshotKey(), new_, pointer_version_},
+                      [this](TimePoint when, const StoreAnswer* answer) {
+                        PointerWritten(when, answer);
+                      });
 }
 
-void SnapshotWriter::Trim(TimePoint now) {
-  if (new_.trimmed >= old_.revision) {
+void SnapshotWriter::PointerWritten(TimePoint now, const StoreAnswer* answer) {
+  const auto* done =
+      answer == nullptr ? nullptr : std::get_if<StorePutDone>(answer);
+  if (done == nullptr || !done->done) {
     Stop(now);
     return;
   }
-  const uint64_t revision = new_.trimmed + 1;
-  context_->CallStore(
-      now, StorePut{ChangeKey(revision), std::monostate(), 1},
-      [this, revision](TimePoint when, const StoreAnswer* answer) {
-        if (answer == nullptr) {
-          Stop(when);
-          return;
-        }
-        new_.trimmed = revision;
-        Trim(when);
-      });
+  pointer_version_ = done->version;
+  const bool fresh = last_known_ != new_.revision;
+  last_known_ = new_.revision;
+  if (fresh && old_.revision > 0) {
+    ListEmptied();
+    next_empty_ = now;
+  } else {
+    Stop(now);
+  }
+}
+
+void SnapshotWriter::ListEmptied() {
+  to_empty_.clear();
+  for (uint64_t part = 0; part < old_.parts; ++part) {
+    to_empty_.push_back(old_.prefix + "/" + std::to_string(part));
+  }
+  for (uint64_t at = old_.revision; at > old_.trimmed; --at) {
+    to_empty_.push_back(ChangeKey(at));
+  }
+}
+
+void SnapshotWriter::EmptyNext(TimePoint now) {
+  next_empty_ = TimePoint::max();
+  if (to_empty_.empty()) {
+    new_.trimmed = old_.revision;
+    WritePointer(now);
+    return;
+  }
+  const std::string key = std::move(to_empty_.back());
+  to_empty_.pop_back();
+  context_->CallStore(now, StorePut{key, std::monostate(), 1},
+                      [this](TimePoint when, const StoreAnswer* answer) {
+                        if (answer == nullptr) {
+                          Stop(when);
+                        } else {
+                          next_empty_ = when + kEmptyPause;
+                        }
+                      });
+}
+
+void SnapshotWriter::Stop(TimePoint now) {
+  busy_ = false;
+  parts_.clear();
+  to_empty_.clear();
+  next_check_ = now + kCheckInterval;
 }
 
 }  // namespace ryefold::core::configuration
--- a/src/libcore/configuration/archive.h
+++ b/src/libcore/configuration/archive.h
@@ -3,6 +3,7 @@
 // What is read from and written to the store besides the log's end: the
 // history of a key, snapshots, and the emptying of old changes.
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -51,18 +52,21 @@
   explicit SnapshotWriter(Context* context) : context_(context) {}
 
   void Tick(TimePoint now);
-  TimePoint next_deadline() const { return next_check_; }
+  TimePoint next_deadline() const { return std::min(next_check_, next_empty_); }
 
  private:
   void Check(TimePoint now);
   void PointerRead(TimePoint now, const StoreAnswer* answer);
   void WritePart(TimePoint now);
   void WritePointer(TimePoint now);
-  void Trim(TimePoint now);
+  void PointerWritten(TimePoint now, const StoreAnswer* answer);
+  void ListEmptied();
+  void EmptyNext(TimePoint now);
   void Stop(TimePoint now);
 
   Context* context_;
   TimePoint next_check_;
+  TimePoint next_empty_ = TimePoint::max();
   bool busy_ = false;
   uint64_t last_known_ = 0;
   /// What the store's pointer says, and its version.
@@ -71,6 +75,8 @@
   SnapshotPointer new_;
   std::vector<std::vector<Document>> parts_;
   uint64_t next_part_ = 0;
+  /// Keys that the new snapshot makes superfluous, in reverse order.
+  std::vector<std::string> to_empty_;
 };
 
 }  // namespace ryefold::core::configuration
--- a/src/libcore/configuration/gossip.cc
+++ b/src/libcore/configuration/gossip.cc
@@ -164,8 +164,7 @@
 void Gossip::Fill(const Standing& wants, DocumentBlock* documents,
                   MemberBlock* members) const {
   const Documents& own = context_->documents;
-  const bool behind =
-      wants.have_documents < own.revision() || wants.revision < own.revision();
+  const bool behind = wants.have_documents < own.revision();
   if (wants.want_documents && own.known() && behind) {
     *documents = own.Since(wants.have_documents, context_->options.block_bytes);
   }
