Keeper of a database group: first form of all its parts

Health by status calls that wait, promotion by majority, confirmation of writes, questions about lost answers, pool, reads, transactions, and the keeper that composes them. The waits of detection are longer than drafted: a status call may wait 500 ms and still has to come back over a network that delays each way by 500 ms before silence counts as loss.

--- a/src/include/ryefold/core/group/keeper.h
+++ b/src/include/ryefold/core/group/keeper.h
@@ -132,14 +132,15 @@
 /// keeps deadlines worked out from them.
 struct KeeperTiming {
   /// How long a status call may wait inside a database.
-  std::chrono::milliseconds status_wait{300};
+  std::chrono::milliseconds status_wait{500};
   /// A status call unanswered this long after its due time counts as a miss.
-  std::chrono::milliseconds status_grace{600};
-  /// Silence after which a database is taken for lost.
-  std::chrono::milliseconds lost_after{1000};
+  std::chrono::milliseconds status_grace{1100};
+  /// Silence after which a database is taken for lost. Has to exceed
+  /// `status_wait` by the longest round trip that must not cause a promotion.
+  std::chrono::milliseconds lost_after{1600};
   /// A primary whose writes no replica confirms for this long, though replicas
   /// answer, is taken for cut off from them.
-  std::chrono::milliseconds unconfirmed_after{1000};
+  std::chrono::milliseconds unconfirmed_after{1100};
   /// Time a proposer waits before it tries again, doubled with jitter.
   std::chrono::milliseconds proposal_retry{100};
   /// Time allowed for one adopt, promote or follow call.
--- /dev/null
+++ b/src/libcore/group/keeper.cc
@@ -0,0 +1,333 @@
+#include "ryefold/core/group/keeper.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <memory>
+#include <utility>
+
+#include "keeper_impl.h"
+
+namespace ryefold::core::group {
+namespace {
+
+constexpr double kRetryRatio = 0.2;
+constexpr double kRetryBurst = 50;
+
+/// The proposer's name with the seed of this keeper in it. An instance that
+/// was restarted under its name would otherwise pass for the one before it,
+/// and a term that the earlier one had adopted could get a second primary.
+std::string UniqueName(const std::string& proposer, uint64_t seed) {
+  std::array<char, 17> text{};
+  std::snprintf(text.data(), text.size(), "%016llx",
+                static_cast<unsigned long long>(seed));
+  return proposer + "#" + text.data();
+}
+
+std::vector<std::string> Names(const GroupSpec& group) {
+  std::vector<std::string> names;
+  for (const DatabaseSpec& spec : group.databases) {
+    names.push_back(spec.database);
+  }
+  return names;
+}
+
+}  // namespace
+
+Keeper::Impl::Impl(GroupSpec group, std::vector<WorkspacePolicy> workspaces,
+                   std::string proposer, std::string near, KeeperTiming timing,
+                   uint64_t seed)
+    : timing_(timing),
+      health_(timing),
+      leadership_(timing, seed),
+      promotion_(UniqueName(proposer, seed), timing, seed),
+      reads_(std::move(near)),
+      transactions_(std::move(proposer), seed),
+      queue_({}, group.queue_limit),
+      retries_(kRetryRatio, kRetryBurst) {
+  group_ = std::move(group);
+  workspaces_ = std::move(workspaces);
+}
+
+void Keeper::Impl::Handle(TimePoint now, const Event& event,
+                          std::vector<Action>* actions) {
+  const bool first = now_ == TimePoint{};
+  now_ = now;
+  actions_ = actions;
+  if (first) {
+    patience_until_ = now + 2 * timing_.lost_after;
+    SetPolicy(group_, workspaces_);
+  }
+  std::visit([this](const auto& received) { On(received); }, event);
+  Advance();
+  actions_ = nullptr;
+}
+
+void Keeper::Impl::On(const RequestArrived& event) {
+  PendingRequest& pending = pending_[event.tag];
+  pending.tag = event.tag;
+  pending.request = event.request;
+  Enqueue(&pending);
+}
+
+void Keeper::Impl::On(const SettleArrived& event) {
+  PendingRequest& pending = pending_[event.tag];
+  pending.tag = event.tag;
+  pending.settle_only = true;
+  pending.request.request_id = event.request.request_id;
+  pending.request.group = event.request.group;
+  pending.request.workspace = event.request.workspace;
+  pending.request.kind = StatementKind::kWrite;
+  pending.request.deadline = event.request.deadline;
+  deadlines_.emplace(pending.request.deadline, event.tag);
+  PutInDoubt(&pending);
+}
+
+void Keeper::Impl::On(const RequestAbandoned& event) {
+  PendingRequest* pending = Find(event.tag);
+  if (pending == nullptr) return;
+  const ConnectionId connection = pending->connection;
+  const bool running = pending->state == RequestState::kRunning;
+  Forget(pending);
+  if (!running) return;
+  // Its answer would come to whoever got the connection next.
+  const auto closed = pool_.Close(connection, actions_);
+  if (closed.has_value()) ConnectionGone(*closed, connection);
+}
+
+void Keeper::Impl::On(const ConnectionOpened& event) {
+  pool_.Opened(event.connection);
+}
+
+void Keeper::Impl::On(const ConnectionLost& event) {
+  const auto lost = pool_.Lost(now_, event.connection);
+  if (!lost.has_value()) return;
+  const bool was_open = lost->state != ConnectionState::kOpening;
+  if (was_open) health_.Doubt(now_, lost->database);
+  ConnectionGone(*lost, event.connection);
+}
+
+void Keeper::Impl::On(const ExecuteReturned& event) {
+  const PooledConnection* connection = pool_.Find(event.connection);
+  if (connection == nullptr) return;
+  if (connection->state != ConnectionState::kRunning) return;
+  const RequestTag tag = connection->tag;
+  const std::string database = connection->database;
+  pool_.Finish(event.connection);
+  queue_.Finished(now_);
+  PendingRequest* pending = Find(tag);
+  if (pending == nullptr) return;
+  Answered(pending, event.connection, event.answer);
+}
+
+void Keeper::Impl::On(const ControlReturned& event) {
+  const auto call = calls_.Take(event.call);
+  if (!call.has_value()) return;
+  const bool polls = call->purpose == CallPurpose::kStatus ||
+                     call->purpose == CallPurpose::kConfirm;
+  const auto* status = std::get_if<DatabaseStatus>(&event.answer);
+  if (polls && status != nullptr) {
+    StatusArrived(*call, *status);
+  } else if (polls) {
+    CallFailed(*call, now_ < call->deadline);
+  } else if (const auto* adopt = std::get_if<AdoptAnswer>(&event.answer)) {
+    promotion_.AdoptAnswered(now_, call->term, call->database, *adopt);
+    Learn(call->database, adopt->status, call->sent, /*waited=*/false);
+  } else if (const auto* role = std::get_if<RoleAnswer>(&event.answer)) {
+    if (call->purpose == CallPurpose::kPromote) {
+      promotion_.PromoteAnswered(now_, call->term, *role);
+    }
+    Learn(call->database, role->status, call->sent, /*waited=*/false);
+  } else if (const auto* settle = std::get_if<SettleAnswer>(&event.answer)) {
+    SettleAnswered(*call, *settle);
+  } else {
+    CallFailed(*call, now_ < call->deadline);
+  }
+}
+
+void Keeper::Impl::On(const PolicyChanged& event) {
+  SetPolicy(event.group, event.workspaces);
+}
+
+void Keeper::Impl::On(const StepDown& /*event*/) {
+  if (stepping_down_) return;
+  stepping_down_ = true;
+  step_down_until_ = now_ + kFinishBound;
+  // What was never sent is better off at the next keeper.
+  const auto dropped =
+      queue_.Drop(now_, Reason::kShuttingDown,
+                  [](const auto& ticket) { return !ticket.in_transaction; });
+  for (const admission::Refusal& refusal : dropped) {
+    PendingRequest* pending = Find(refusal.tag);
+    if (pending == nullptr) continue;
+    if (pending->doubtful) {
+      PutInDoubt(pending);
+      continue;
+    }
+    NotRun(pending, NotRunProof::NeverSent(), Reason::kShuttingDown,
+           kRetryAfterStepDown);
+  }
+}
+
+void Keeper::Impl::On(const StepUp& /*event*/) {
+  if (!stepping_down_) return;
+  stepping_down_ = false;
+  if (!idle_) return;
+  // Everything was given back; begin as a new keeper would.
+  idle_ = false;
+  patience_until_ = now_ + 2 * timing_.lost_after;
+  health_ = Health(timing_);
+  health_.SetDatabases(now_, Names(group_));
+}
+
+void Keeper::Impl::On(const Tick& /*event*/) {}
+
+void Keeper::Impl::SetPolicy(GroupSpec group,
+                             std::vector<WorkspacePolicy> workspaces) {
+  group_ = std::move(group);
+  workspaces_ = std::move(workspaces);
+  const std::vector<std::string> names = Names(group_);
+  health_.SetDatabases(now_, names);
+  confirmation_.SetDatabases(names);
+  leadership_.SetGroup(now_, group_);
+  for (const PooledConnection& closed : pool_.SetGroup(group_, actions_)) {
+    ConnectionGone(closed, 0);
+  }
+  queue_.SetPolicies(workspaces_, group_.queue_limit);
+  for (const std::string& name : names) {
+    shares(name).SetPolicies(workspaces_, pool_.usable());
+  }
+  for (const DatabaseSpec& spec : group_.databases) {
+    if (!spec.leaving) {
+      leaving_since_.erase(spec.database);
+    } else {
+      leaving_since_.try_emplace(spec.database, now_);
+    }
+  }
+}
+
+void Keeper::Impl::Advance() {
+  if (idle_) return;
+  for (const PendingCall& call : calls_.TakeExpired(now_)) {
+    CallFailed(call, /*refused=*/false);
+  }
+  ExpireDeadlines();
+  leadership_.Update(now_, health_, confirmation_);
+  DrivePromotion();
+  DropLostDatabases();
+  DriveFollowing();
+  JudgeUnconfirmed();
+  SendSettleCalls();
+  EndTransactionsOnLeaving();
+  RefuseWaitingForPrimary();
+  RefuseEarly(queue_.Expire(now_));
+  RefillPool();
+  Pump();
+  RefillPool();
+  SendRound();
+  PollStatus();
+  AdvanceStepDown();
+}
+
+void Keeper::Impl::AdvanceStepDown() {
+  if (!stepping_down_) return;
+  if (now_ >= step_down_until_) {
+    for (const Transaction& open : transactions_.On("")) {
+      CloseTransaction(open.id);
+    }
+  }
+  if (!pending_.empty() || !transactions_.empty()) return;
+  for (const ConnectionId id : pool_.ConnectionsTo("")) {
+    pool_.Close(id, actions_);
+  }
+  calls_.Clear();
+  promotion_.Stop();
+  idle_ = true;
+}
+
+TimePoint Keeper::Impl::next_deadline() const {
+  if (idle_) return TimePoint::max();
+  // Whatever was due already has been acted upon; a time that has passed
+  // would only make the caller spin.
+  std::array<TimePoint, 13> times = {calls_.next_deadline(),
+                                     health_.next_deadline(now_),
+                                     leadership_.next_deadline(now_),
+                                     promotion_.next_deadline(now_),
+                                     following_.next_deadline(now_),
+                                     resolution_.next_deadline(now_),
+                                     reads_.next_deadline(now_),
+                                     pool_.next_deadline(now_),
+                                     transactions_.next_deadline(),
+                                     queue_.next_deadline(),
+                                     look_again_,
+                                     patience_until_,
+                                     step_down_until_};
+  TimePoint next = TimePoint::max();
+  for (const TimePoint at : times) {
+    if (at > now_) next = std::min(next, at);
+  }
+  if (!deadlines_.empty()) next = std::min(next, deadlines_.begin()->first);
+  if (gap_until_ && *gap_until_ > now_) next = std::min(next, *gap_until_);
+  for (const auto& [database, since] : leaving_since_) {
+    for (const auto bound : {kTransactionHandover, kFinishBound}) {
+      if (since + bound > now_) next = std::min(next, since + bound);
+    }
+  }
+  return next;
+}
+
+bool Keeper::Impl::idle() const { return idle_; }
+
+KeeperView Keeper::Impl::view(TimePoint now) const {
+  KeeperView view;
+  view.group = group_.group;
+  view.primary = leadership_.primary();
+  view.term = leadership_.term();
+  view.stepping_down = stepping_down_;
+  view.queued = static_cast<uint32_t>(queue_.size());
+  view.unconfirmed = static_cast<uint32_t>(unconfirmed_.size());
+  view.failovers = failovers_;
+  view.reads_replica = reads_replica_;
+  view.reads_primary = reads_primary_;
+  view.writes = writes_;
+  view.refused = refused_;
+  for (const DatabaseSpec& spec : group_.databases) {
+    view.databases.push_back(ViewOf(now, spec));
+  }
+  return view;
+}
+
+DatabaseView Keeper::Impl::ViewOf(TimePoint now,
+                                  const DatabaseSpec& spec) const {
+  DatabaseView view;
+  view.database = spec.database;
+  view.reachable = health_.reachable(now, spec.database);
+  view.primary = spec.database == leadership_.primary();
+  view.leaving = spec.leaving;
+  if (const DatabaseStatus* status = health_.status(spec.database)) {
+    view.adopted_term = status->adopted_term;
+    view.last = status->last;
+  }
+  if (!view.primary) view.lag = reads_.lag(now, read_view(), spec.database);
+  view.connections = pool_.open(spec.database);
+  view.running = pool_.running(spec.database);
+  return view;
+}
+
+Keeper::Keeper(GroupSpec group, std::vector<WorkspacePolicy> workspaces,
+               std::string proposer, std::string near, KeeperTiming timing,
+               uint64_t seed)
+    : impl_(std::make_unique<Impl>(std::move(group), std::move(workspaces),
+                                   std::move(proposer), std::move(near), timing,
+                                   seed)) {}
+Keeper::~Keeper() = default;
+
+void Keeper::Handle(TimePoint now, const Event& event,
+                    std::vector<Action>* actions) {
+  impl_->Handle(now, event, actions);
+}
+TimePoint Keeper::next_deadline() const { return impl_->next_deadline(); }
+bool Keeper::idle() const { return impl_->idle(); }
+KeeperView Keeper::view(TimePoint now) const { return impl_->view(now); }
+
+}  // namespace ryefold::core::group
--- /dev/null
+++ b/src/libcore/group/keeper_impl.h
@@ -0,0 +1,196 @@
+#pragma once
+
+// The keeper composed of its parts. The work is split over keeper.cc (events
+// and views), keeper_control.cc (statuses, promotion), keeper_requests.cc
+// (queue and sending) and keeper_answers.cc (answers and outcomes).
+
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "ryefold/core/admission/queue.h"
+#include "ryefold/core/group/calls.h"
+#include "ryefold/core/group/confirmation.h"
+#include "ryefold/core/group/following.h"
+#include "ryefold/core/group/health.h"
+#include "ryefold/core/group/keeper.h"
+#include "ryefold/core/group/leadership.h"
+#include "ryefold/core/group/pool.h"
+#include "ryefold/core/group/promotion.h"
+#include "ryefold/core/group/reads.h"
+#include "ryefold/core/group/request.h"
+#include "ryefold/core/group/resolution.h"
+#include "ryefold/core/group/transactions.h"
+
+namespace ryefold::core::group {
+
+/// Open transactions of a keeper that steps down, and what runs on a leaving
+/// database, may go on for this long.
+constexpr std::chrono::milliseconds kFinishBound{2000};
+/// Transactions on a leaving primary, for which all writes are held.
+constexpr std::chrono::milliseconds kTransactionHandover{200};
+/// When to come back after a refusal by a keeper that steps down: the next one
+/// is there already.
+constexpr std::chrono::milliseconds kRetryAfterStepDown{20};
+
+class Keeper::Impl {
+ public:
+  Impl(GroupSpec group, std::vector<WorkspacePolicy> workspaces,
+       std::string proposer, std::string near, KeeperTiming timing,
+       uint64_t seed);
+
+  void Handle(TimePoint now, const Event& event, std::vector<Action>* actions);
+  TimePoint next_deadline() const;
+  bool idle() const;
+  KeeperView view(TimePoint now) const;
+
+ private:
+  // keeper.cc
+  void On(const RequestArrived& event);
+  void On(const SettleArrived& event);
+  void On(const RequestAbandoned& event);
+  void On(const ConnectionOpened& event);
+  void On(const ConnectionLost& event);
+  void On(const ExecuteReturned& event);
+  void On(const ControlReturned& event);
+  void On(const PolicyChanged& event);
+  void On(const StepDown& event);
+  void On(const StepUp& event);
+  void On(const Tick& event);
+  void SetPolicy(GroupSpec group, std::vector<WorkspacePolicy> workspaces);
+  void Advance();
+  void AdvanceStepDown();
+  DatabaseView ViewOf(TimePoint now, const DatabaseSpec& spec) const;
+
+  // keeper_control.cc
+  void PollStatus();
+  void CallFailed(const PendingCall& call, bool refused);
+  void StatusArrived(const PendingCall& call, const DatabaseStatus& status);
+  void Learn(const std::string& database, const DatabaseStatus& status,
+             TimePoint sent, bool waited);
+  void DrivePromotion();
+  void SendProposalCalls();
+  void DriveFollowing();
+  void DropLostDatabases();
+  void SendSettleCalls();
+  void SendRound();
+  void AskNow(const std::string& database);
+  bool PrimaryQuiet() const;
+  /// Whether the primary takes new statements now.
+  bool primary_open() const;
+  /// Whether waiting for a primary makes no sense at present.
+  bool given_up() const;
+
+  // keeper_requests.cc
+  void Enqueue(PendingRequest* pending);
+  void RefuseEarly(const std::vector<admission::Refusal>& refusals);
+  bool RefuseOnArrival(const PendingRequest& pending);
+  void RefuseWaitingForPrimary();
+  std::chrono::milliseconds RetryAfterGap() const;
+  bool ConfirmationTooSlow(TimePoint deadline) const;
+  void Pump();
+  bool AnySlotFree() const;
+  bool CanRun(const admission::Ticket& ticket);
+  bool CanRunInTransaction(PendingRequest* pending);
+  bool CanRunOnPrimary(PendingRequest* pending);
+  bool CanRunRead(PendingRequest* pending);
+  void Start(PendingRequest* pending);
+  void EndTransactionsOnLeaving();
+  void CloseTransaction(const std::string& id);
+  void CloseIdleOnLeaving();
+  void RefillPool();
+  ReadView read_view() const;
+
+  // keeper_answers.cc
+  void Answered(PendingRequest* pending, ConnectionId connection,
+                const ExecuteAnswer& answer);
+  void ReadAnswered(PendingRequest* pending, const ExecuteAnswer& answer);
+  void WriteAnswered(PendingRequest* pending, const ExecuteAnswer& answer);
+  void BeginAnswered(PendingRequest* pending, ConnectionId connection,
+                     const ExecuteAnswer& answer);
+  void InTransactionAnswered(PendingRequest* pending, ConnectionId connection,
+                             const ExecuteAnswer& answer);
+  void RefusedForTerm(PendingRequest* pending, const ExecuteAnswer& answer);
+  void AnswerLost(PendingRequest* pending);
+  void Retry(PendingRequest* pending);
+  void LeaveQueue(PendingRequest* pending);
+  void PutInDoubt(PendingRequest* pending);
+  void Confirm(PendingRequest* pending, RequestState state,
+               const LogPosition& position);
+  void JudgeUnconfirmed();
+  void Conclude(PendingRequest* pending, Verdict verdict);
+  void Discarded(PendingRequest* pending);
+  void SettleAnswered(const PendingCall& call, const SettleAnswer& answer);
+  void ConnectionGone(const PooledConnection& connection, ConnectionId id);
+  void ExpireDeadlines();
+  void Expire(PendingRequest* pending);
+  void NotRun(PendingRequest* pending, const NotRunProof& proof, Reason reason,
+              std::chrono::milliseconds retry_after, std::string detail = {});
+  void Finish(PendingRequest* pending, StatementAnswer answer);
+  void Forget(PendingRequest* pending);
+  PendingRequest* Find(RequestTag tag);
+  admission::ConnectionShares& shares(const std::string& database);
+
+  GroupSpec group_;
+  std::vector<WorkspacePolicy> workspaces_;
+  KeeperTiming timing_;
+
+  Health health_;
+  Confirmation confirmation_;
+  Leadership leadership_;
+  Promotion promotion_;
+  Following following_;
+  Resolution resolution_;
+  Reads reads_;
+  Pool pool_;
+  Transactions transactions_;
+  CallTable calls_;
+  admission::Queue queue_;
+  admission::RetryBudget retries_;
+  std::map<std::string, admission::ConnectionShares> shares_;
+
+  std::map<RequestTag, PendingRequest> pending_;
+  std::set<std::pair<TimePoint, RequestTag>> deadlines_;
+  std::set<std::pair<LogPosition, RequestTag>> unconfirmed_;
+  /// When each unconfirmed write was answered by the primary, oldest first.
+  std::set<std::pair<TimePoint, RequestTag>> unconfirmed_since_;
+  /// Requests waiting in the queue, by workspace.
+  std::map<std::string, uint32_t> waiting_;
+  std::vector<std::string> wanted_;
+
+  // The event being handled.
+  TimePoint now_;
+  std::vector<Action>* actions_ = nullptr;
+
+  /// Set while pumping: where the ticket looked at last may run.
+  std::string target_;
+  ConnectionId target_connection_ = 0;
+  /// When the newest read that waits for a round arrived.
+  std::optional<TimePoint> round_wanted_;
+  /// A waiting read is looked at again then.
+  TimePoint look_again_ = TimePoint::max();
+  /// When the primary should be there again, while there is none.
+  std::optional<TimePoint> gap_until_;
+  /// Until when a group without a primary is worth waiting for.
+  TimePoint patience_until_;
+  std::map<std::string, TimePoint> primary_asked_;
+  std::set<std::string> dropped_;
+  /// When each leaving database was marked so.
+  std::map<std::string, TimePoint> leaving_since_;
+  /// Last entry that a write of this keeper is known to have made.
+  LogPosition last_written_;
+
+  bool stepping_down_ = false;
+  TimePoint step_down_until_;
+  bool idle_ = false;
+
+  uint64_t failovers_ = 0;
+  uint64_t reads_replica_ = 0;
+  uint64_t reads_primary_ = 0;
+  uint64_t writes_ = 0;
+  uint64_t refused_ = 0;
+};
+
+}  // namespace ryefold::core::group
--- /dev/null
+++ b/src/libcore/group/transactions.cc
@@ -0,0 +1,81 @@
+#include "ryefold/core/group/transactions.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+namespace ryefold::core::group {
+namespace {
+
+/// A transaction whose caller sends nothing for this long is abandoned: its
+/// connection is closed, which makes the database roll it back.
+constexpr std::chrono::seconds kIdleLimit{10};
+
+}  // namespace
+
+Transaction& Transactions::Begin(TimePoint now, const std::string& workspace,
+                                 const std::string& database, uint64_t term,
+                                 ConnectionId connection) {
+  std::array<char, 17> nonce{};
+  std::snprintf(nonce.data(), nonce.size(), "%016llx",
+                static_cast<unsigned long long>(random_()));
+  Transaction transaction;
+  transaction.id =
+      instance_ + "~" + std::to_string(next_number_++) + "~" + nonce.data();
+  transaction.workspace = workspace;
+  transaction.database = database;
+  transaction.term = term;
+  transaction.connection = connection;
+  transaction.idle_until = now + kIdleLimit;
+  return open_[transaction.id] = transaction;
+}
+
+Transaction* Transactions::Find(const std::string& id,
+                                const std::string& workspace) {
+  const auto it = open_.find(id);
+  if (it == open_.end() || it->second.workspace != workspace) return nullptr;
+  return &it->second;
+}
+
+std::string Transactions::OwnerOf(ConnectionId connection) const {
+  for (const auto& [id, transaction] : open_) {
+    if (transaction.connection == connection) return id;
+  }
+  return {};
+}
+
+void Transactions::SetRunning(TimePoint now, Transaction* transaction,
+                              bool running) const {
+  transaction->running = running;
+  transaction->idle_until = now + kIdleLimit;
+}
+
+std::vector<Transaction> Transactions::Idle(TimePoint now) const {
+  std::vector<Transaction> idle;
+  for (const auto& [id, transaction] : open_) {
+    if (!transaction.running && transaction.idle_until <= now) {
+      idle.push_back(transaction);
+    }
+  }
+  return idle;
+}
+
+std::vector<Transaction> Transactions::On(const std::string& database) const {
+  std::vector<Transaction> found;
+  for (const auto& [id, transaction] : open_) {
+    if (database.empty() || transaction.database == database) {
+      found.push_back(transaction);
+    }
+  }
+  return found;
+}
+
+TimePoint Transactions::next_deadline() const {
+  TimePoint next = TimePoint::max();
+  for (const auto& [id, transaction] : open_) {
+    if (!transaction.running) next = std::min(next, transaction.idle_until);
+  }
+  return next;
+}
+
+}  // namespace ryefold::core::group
