--- a/src/bench/load.cc
+++ b/src/bench/load.cc
@@ -58,10 +58,12 @@
 /// One connection that sends its next statement when the answer is there.
 class Client {
  public:
-  Client(task::Loop* loop, const Options& options, Tally* tally, std::atomic<int>* left)
+  Client(task::Loop* loop, const Options& options, Tally* tally,
+         std::atomic<int>* left)
       : loop_(loop), options_(options), tally_(tally), left_(left) {
     if (!options.direct) headers_["Authorization"] = "Bearer " + options.key;
-    connection_ = std::make_unique<wire::HttpConnection>(loop->base(), options.target, [] {});
+    connection_ = std::make_unique<wire::HttpConnection>(loop->base(),
+                                                         options.target, [] {});
   }
 
   void Start() {
@@ -88,9 +90,10 @@
       return;
     }
     sent_ = now;
-    connection_->Send("POST", options_.direct ? "/v1/execute" : "/v1/statement", Body(),
-                      now + kCallBound,
-                      [this](const wire::HttpResult& result) { Answered(result); }, headers_);
+    connection_->Send(
+        "POST", options_.direct ? "/v1/execute" : "/v1/statement", Body(),
+        now + kCallBound,
+        [this](const wire::HttpResult& result) { Answered(result); }, headers_);
   }
 
   std::string Body() {
@@ -98,14 +101,16 @@
     if (options_.direct) {
       core::ExecuteCall call;
       call.term = 1;
-      call.kind = options_.write ? core::StatementKind::kWrite : core::StatementKind::kRead;
+      call.kind = options_.write ? core::StatementKind::kWrite
+                                 : core::StatementKind::kRead;
       call.sql = options_.sql;
       call.workspace = "load";
       call.request_id = Id();
       return wire::WriteExecuteCall(call);
     }
-    std::string body = "{\"group\":\"" + options_.group + "\",\"workspace\":\"" +
-                       options_.workspace + "\",\"sql\":\"" + options_.sql + "\",\"kind\":\"" +
+    std::string body = "{\"group\":\"" + options_.group +
+                       "\",\"workspace\":\"" + options_.workspace +
+                       "\",\"sql\":\"" + options_.sql + "\",\"kind\":\"" +
                        (options_.write ? "write" : "read") + "\"";
     if (options_.write) body += ",\"request_id\":\"" + Id() + "\"";
     return body + "}";
@@ -133,7 +138,8 @@
       ++tally_->unknown;
     } else {
       ++tally_->other;
-      if (tally_->other < 3) std::cerr << result.code << " " << result.body << "\n";
+      if (tally_->other < 3)
+        std::cerr << result.code << " " << result.body << "\n";
     }
     Next();
   }
@@ -168,7 +174,9 @@
 double Percentile(const std::vector<microseconds>& sorted, double share) {
   if (sorted.empty()) return 0;
   const auto last = static_cast<double>(sorted.size() - 1);
-  return static_cast<double>(sorted[static_cast<size_t>(share * last)].count()) / 1000.0;
+  return static_cast<double>(
+             sorted[static_cast<size_t>(share * last)].count()) /
+         1000.0;
 }
 
 void Report(const std::vector<Tally>& tallies, milliseconds elapsed) {
@@ -178,17 +186,20 @@
     all.not_run += tally.not_run;
     all.unknown += tally.unknown;
     all.other += tally.other;
-    all.latencies.insert(all.latencies.end(), tally.latencies.begin(), tally.latencies.end());
+    all.latencies.insert(all.latencies.end(), tally.latencies.begin(),
+                         tally.latencies.end());
   }
   std::sort(all.latencies.begin(), all.latencies.end());
-  const double rate = static_cast<double>(all.done) * 1000.0 /
-                      std::max<double>(1.0, static_cast<double>(elapsed.count()));
+  const double rate =
+      static_cast<double>(all.done) * 1000.0 /
+      std::max<double>(1.0, static_cast<double>(elapsed.count()));
   std::cout << "{\"done\":" << all.done << ",\"not_run\":" << all.not_run
             << ",\"unknown\":" << all.unknown << ",\"other\":" << all.other
             << ",\"per_second\":" << static_cast<uint64_t>(rate)
             << ",\"p50_ms\":" << Percentile(all.latencies, 0.5)
             << ",\"p99_ms\":" << Percentile(all.latencies, 0.99)
-            << ",\"max_ms\":" << Percentile(all.latencies, 1.0) << "}" << std::endl;
+            << ",\"max_ms\":" << Percentile(all.latencies, 1.0) << "}"
+            << std::endl;
 }
 
 int Run(Options options, seconds duration) {
@@ -198,11 +209,12 @@
   std::vector<std::thread> threads;
   threads.reserve(tallies.size());
   for (Tally& tally : tallies) {
-    threads.emplace_back(RunThread, std::cref(options), options.connections / options.threads,
-                         &tally);
+    threads.emplace_back(RunThread, std::cref(options),
+                         options.connections / options.threads, &tally);
   }
   for (std::thread& thread : threads) thread.join();
-  Report(tallies, std::chrono::duration_cast<milliseconds>(SteadyClock::now() - start));
+  Report(tallies,
+         std::chrono::duration_cast<milliseconds>(SteadyClock::now() - start));
   return 0;
 }
 
@@ -210,26 +222,35 @@
 }  // namespace ryefold::bench
 
 int main(int argc, char** argv) {
-  cxxopts::Options flags("bench_load", "Closed-loop load on a stack or on one database.");
-  flags.add_options()("target", "entry, ip:port", cxxopts::value<std::string>())(
+  cxxopts::Options flags("bench_load",
+                         "Closed-loop load on a stack or on one database.");
+  flags.add_options()("target", "entry, ip:port",
+                      cxxopts::value<std::string>())(
       "direct", "database, ip:port", cxxopts::value<std::string>())(
-      "workspace", "workspace", cxxopts::value<std::string>()->default_value(""))(
+      "workspace", "workspace",
+      cxxopts::value<std::string>()->default_value(""))(
       "key", "its key", cxxopts::value<std::string>()->default_value(""))(
-      "group", "database group", cxxopts::value<std::string>()->default_value(""))(
-      "sql", "statement", cxxopts::value<std::string>()->default_value("SELECT 1"))(
-      "write", "send it as a write")("connections", "connections in all",
-                                     cxxopts::value<int>()->default_value("16"))(
+      "group", "database group",
+      cxxopts::value<std::string>()->default_value(""))(
+      "sql", "statement",
+      cxxopts::value<std::string>()->default_value("SELECT 1"))(
+      "write", "send it as a write")(
+      "connections", "connections in all",
+      cxxopts::value<int>()->default_value("16"))(
       "threads", "threads", cxxopts::value<int>()->default_value("1"))(
-      "seconds", "duration", cxxopts::value<int>()->default_value("5"))("h,help", "show this text");
+      "seconds", "duration", cxxopts::value<int>()->default_value("5"))(
+      "h,help", "show this text");
   try {
     const cxxopts::ParseResult parsed = flags.parse(argc, argv);
-    if (parsed.count("help") > 0 || (parsed.count("target") == 0) == (parsed.count("direct") == 0)) {
+    if (parsed.count("help") > 0 ||
+        (parsed.count("target") == 0) == (parsed.count("direct") == 0)) {
       std::cout << flags.help() << "\nGive either --target or --direct.\n";
       return parsed.count("help") > 0 ? 0 : 2;
     }
     ryefold::bench::Options options;
     options.direct = parsed.count("direct") > 0;
-    options.target = parsed[options.direct ? "direct" : "target"].as<std::string>();
+    options.target =
+        parsed[options.direct ? "direct" : "target"].as<std::string>();
     options.workspace = parsed["workspace"].as<std::string>();
     options.key = parsed["key"].as<std::string>();
     options.group = parsed["group"].as<std::string>();
@@ -237,7 +258,8 @@
     options.write = parsed.count("write") > 0;
     options.connections = parsed["connections"].as<int>();
     options.threads = std::max(1, parsed["threads"].as<int>());
-    return ryefold::bench::Run(options, std::chrono::seconds(parsed["seconds"].as<int>()));
+    return ryefold::bench::Run(
+        options, std::chrono::seconds(parsed["seconds"].as<int>()));
   } catch (const cxxopts::OptionException& error) {
     std::cerr << "bench_load: " << error.what() << "; see --help\n";
     return 2;
--- a/src/ryefoldd/access.h
+++ b/src/ryefoldd/access.h
@@ -16,7 +16,8 @@
  public:
   /// The workspace, if the header carries its key; null for an unknown
   /// workspace or a wrong key alike, so that names can't be probed.
-  const core::WorkspaceSpec* Check(const core::Catalog& catalog, const std::string& workspace,
+  const core::WorkspaceSpec* Check(const core::Catalog& catalog,
+                                   const std::string& workspace,
                                    const std::string& header);
 
  private:
--- a/src/ryefoldd/catalog_view.cc
+++ b/src/ryefoldd/catalog_view.cc
@@ -22,14 +22,16 @@
 }
 
 std::shared_ptr<const core::Catalog> CatalogView::Build(
-    uint64_t revision, const std::map<std::string, core::configuration::Document>& documents,
+    uint64_t revision,
+    const std::map<std::string, core::configuration::Document>& documents,
     const std::vector<Member>& members, wire::Findings* findings) {
   Learn(members);
   std::map<std::string, std::string> texts;
   for (const auto& [key, document] : documents) {
     if (document.text) texts[key] = *document.text;
   }
-  auto catalog = std::make_shared<core::Catalog>(settings::Resolve(texts, findings));
+  auto catalog =
+      std::make_shared<core::Catalog>(settings::Resolve(texts, findings));
   catalog->revision = revision;
   for (auto& [name, group] : catalog->groups) {
     for (core::DatabaseSpec& database : group.databases) {
--- a/src/ryefoldd/catalog_view.h
+++ b/src/ryefoldd/catalog_view.h
@@ -22,8 +22,10 @@
   /// Resolves the documents and fills in what the list says of the databases.
   /// Findings tell of documents that do not resolve; those are left out.
   std::shared_ptr<const core::Catalog> Build(
-      uint64_t revision, const std::map<std::string, core::configuration::Document>& documents,
-      const std::vector<core::membership::Member>& members, wire::Findings* findings);
+      uint64_t revision,
+      const std::map<std::string, core::configuration::Document>& documents,
+      const std::vector<core::membership::Member>& members,
+      wire::Findings* findings);
 
  private:
   void Learn(const std::vector<core::membership::Member>& members);
--- a/src/ryefoldd/database_link.cc
+++ b/src/ryefoldd/database_link.cc
@@ -21,7 +21,8 @@
 
 }  // namespace
 
-DatabaseLink::DatabaseLink(task::Loop* loop, wire::HttpClient* control, Sink sink)
+DatabaseLink::DatabaseLink(task::Loop* loop, wire::HttpClient* control,
+                           Sink sink)
     : loop_(loop), control_(control), sink_(std::move(sink)) {}
 
 DatabaseLink::~DatabaseLink() = default;
@@ -43,10 +44,11 @@
     });
     return;
   }
-  slot.connection = std::make_unique<wire::HttpConnection>(loop_->base(), address->second,
-                                                           [this, id] { Lost(id); });
-  slot.connection->Send("POST", "/v1/open", "{}", Now() + kOpenTimeout,
-                        [this, id](const wire::HttpResult& result) { Opened(id, result); });
+  slot.connection = std::make_unique<wire::HttpConnection>(
+      loop_->base(), address->second, [this, id] { Lost(id); });
+  slot.connection->Send(
+      "POST", "/v1/open", "{}", Now() + kOpenTimeout,
+      [this, id](const wire::HttpResult& result) { Opened(id, result); });
 }
 
 void DatabaseLink::Opened(ConnectionId id, const wire::HttpResult& result) {
@@ -72,8 +74,8 @@
   const auto slot = slots_.find(id);
   if (slot == slots_.end() || !slot->second.opened) return;
   slot->second.connection->Send(
-      "POST", std::string(wire::PathOf(action.call)), wire::WriteExecuteCall(action.call),
-      Now() + kExecuteBound,
+      "POST", std::string(wire::PathOf(action.call)),
+      wire::WriteExecuteCall(action.call), Now() + kExecuteBound,
       [this, id](const wire::HttpResult& result) { Executed(id, result); });
 }
 
@@ -82,7 +84,8 @@
     Lost(id);
     return;
   }
-  std::optional<core::ExecuteAnswer> answer = wire::ReadExecuteAnswer(result.body);
+  std::optional<core::ExecuteAnswer> answer =
+      wire::ReadExecuteAnswer(result.body);
   if (!answer) {
     // An answer that cannot be read tells nothing about the statement, and
     // whatever follows on this connection could be the rest of it. Treated as
@@ -99,21 +102,23 @@
   std::weak_ptr<int> alive = alive_;
   if (address == addresses_.end()) {
     loop_->Post([this, alive, call] {
-      if (!alive.expired()) Emit(core::group::ControlReturned{call, std::monostate{}});
+      if (!alive.expired())
+        Emit(core::group::ControlReturned{call, std::monostate{}});
     });
     return;
   }
   const core::ControlCall request = action.request;
-  control_->Call(address->second, "POST", std::string(wire::PathOf(request)),
-                 wire::WriteControlCall(request), action.deadline,
-                 [this, alive, call, request](const wire::HttpResult& result) {
-                   if (alive.expired()) return;
-                   core::ControlAnswer answer;
-                   if (result.status == wire::CallStatus::kOk && result.code == kHttpOk) {
-                     answer = wire::ReadControlAnswer(request, result.body);
-                   }
-                   Emit(core::group::ControlReturned{call, std::move(answer)});
-                 });
+  control_->Call(
+      address->second, "POST", std::string(wire::PathOf(request)),
+      wire::WriteControlCall(request), action.deadline,
+      [this, alive, call, request](const wire::HttpResult& result) {
+        if (alive.expired()) return;
+        core::ControlAnswer answer;
+        if (result.status == wire::CallStatus::kOk && result.code == kHttpOk) {
+          answer = wire::ReadControlAnswer(request, result.body);
+        }
+        Emit(core::group::ControlReturned{call, std::move(answer)});
+      });
 }
 
 void DatabaseLink::Lost(ConnectionId id) {
@@ -128,7 +133,8 @@
   // The connection may be the one calling us; it is deleted by the loop later.
   if (slot->second.connection) {
     slot->second.connection->Close();
-    std::shared_ptr<wire::HttpConnection> connection = std::move(slot->second.connection);
+    std::shared_ptr<wire::HttpConnection> connection =
+        std::move(slot->second.connection);
     loop_->Post([connection] {});
   }
   slots_.erase(slot);
--- a/src/ryefoldd/entry_task.cc
+++ b/src/ryefoldd/entry_task.cc
@@ -65,14 +65,17 @@
   loop_ = loop;
   id_prefix_ = FreshIdPrefix(wiring_->settings.name);
   forwarder_ = std::make_unique<core::entry::Forwarder>(
-      [this](core::TimePoint now, const std::string& group) { return Ranked(now, group); },
+      [this](core::TimePoint now, const std::string& group) {
+        return Ranked(now, group);
+      },
       core::entry::ForwarderTiming{}, std::random_device()());
   server_ = std::make_unique<wire::HttpServer>(
       loop->base(), wiring_->settings.http,
       [this](const wire::HttpExchange& exchange) { OnRequest(exchange); });
   const std::string problem = server_->Listen(wiring_->settings.caller_address);
   if (!problem.empty()) throw std::runtime_error("callers' port: " + problem);
-  wiring_->entry.Open(loop, [this](EntryMessage message) { OnMessage(std::move(message)); });
+  wiring_->entry.Open(
+      loop, [this](EntryMessage message) { OnMessage(std::move(message)); });
   wiring_->control.Send(TaskStarted{});
   wiring_->entry_listening = true;
   Sweep();
@@ -142,23 +145,29 @@
 }
 
 void EntryTask::OnMetrics(const wire::HttpExchange& exchange) const {
-  exchange.Reply({kOk, wiring_->metrics.Text(), "text/plain; version=0.0.4", {}});
+  exchange.Reply(
+      {kOk, wiring_->metrics.Text(), "text/plain; version=0.0.4", {}});
 }
 
-void EntryTask::Reject(const wire::HttpExchange& exchange, int status, const std::string& error) const {
+void EntryTask::Reject(const wire::HttpExchange& exchange, int status,
+                       const std::string& error) const {
   Reject(exchange, status, error, {});
 }
 
-void EntryTask::Reject(const wire::HttpExchange& exchange, int status, const std::string& error,
+void EntryTask::Reject(const wire::HttpExchange& exchange, int status,
+                       const std::string& error,
                        const wire::Findings& findings) const {
   wiring_->metrics.Rejected(status);
-  exchange.Reply({status, wire::WriteError(error, findings), "application/json", {}});
+  exchange.Reply(
+      {status, wire::WriteError(error, findings), "application/json", {}});
 }
 
-void EntryTask::OnStatement(const wire::HttpExchange& exchange, core::Step step) {
+void EntryTask::OnStatement(const wire::HttpExchange& exchange,
+                            core::Step step) {
   const core::TimePoint now = Now();
   wire::Findings findings;
-  wire::CallerRequest caller = wire::ReadCallerRequest(now, step, exchange.body(), &findings);
+  wire::CallerRequest caller =
+      wire::ReadCallerRequest(now, step, exchange.body(), &findings);
   if (!findings.empty()) {
     Reject(exchange, kBadRequest, "the request has findings", findings);
     return;
@@ -171,8 +180,8 @@
     return;
   }
   core::StatementRequest& request = caller.request;
-  const core::WorkspaceSpec* workspace =
-      access_.Check(*catalog_, request.workspace, exchange.header("authorization"));
+  const core::WorkspaceSpec* workspace = access_.Check(
+      *catalog_, request.workspace, exchange.header("authorization"));
   if (workspace == nullptr) {
     Reject(exchange, kUnauthorized, "unknown workspace or wrong key");
     return;
@@ -183,17 +192,20 @@
     return;
   }
   const uint64_t tag = next_tag_++;
-  if (request.request_id.empty()) request.request_id = id_prefix_ + std::to_string(tag);
+  if (request.request_id.empty())
+    request.request_id = id_prefix_ + std::to_string(tag);
   const auto seen = caller.token.seen.find(request.group);
   if (seen != caller.token.seen.end()) request.seen = seen->second;
-  waiting_.emplace(tag, Waiting{exchange, request.group, request.workspace, request.request_id,
-                                std::move(caller.token), workspace->policy.priority, now});
+  waiting_.emplace(tag, Waiting{exchange, request.group, request.workspace,
+                                request.request_id, std::move(caller.token),
+                                workspace->policy.priority, now});
   exchange.OnGone([this, tag] { Drive(core::entry::RequestAbandoned{tag}); });
   Drive(core::entry::RequestArrived{tag, std::move(request)});
 }
 
 void EntryTask::OnAdmin(const wire::HttpExchange& exchange) {
-  if (!IsOperator(wiring_->settings.admin_key, exchange.header("authorization"))) {
+  if (!IsOperator(wiring_->settings.admin_key,
+                  exchange.header("authorization"))) {
     Reject(exchange, kUnauthorized, "wrong or missing operators' key");
     return;
   }
@@ -259,12 +271,16 @@
   core::session::Advance(&waiting.token, waiting.group, action.answer.seen());
   wire::HttpReply reply;
   reply.status = wire::StatusOf(action.answer);
-  reply.body = wire::WriteCallerAnswer(action.answer, waiting.request_id, waiting.token);
+  reply.body =
+      wire::WriteCallerAnswer(action.answer, waiting.request_id, waiting.token);
   if (action.answer.kind() == core::OutcomeKind::kNotRun) {
-    reply.headers["Retry-After"] = RetryAfterSeconds(action.answer.retry_after());
+    reply.headers["Retry-After"] =
+        RetryAfterSeconds(action.answer.retry_after());
   }
-  const auto latency = std::chrono::duration_cast<microseconds>(Now() - waiting.arrived);
-  wiring_->metrics.Answered(waiting.workspace, waiting.priority, action.answer, latency);
+  const auto latency =
+      std::chrono::duration_cast<microseconds>(Now() - waiting.arrived);
+  wiring_->metrics.Answered(waiting.workspace, waiting.priority, action.answer,
+                            latency);
   waiting.exchange.Reply(reply);
 }
 
@@ -274,7 +290,8 @@
     return;
   }
   CallPeer(action.call, action.instance, wire::kPeerStatement,
-           wire::WritePeerRequest(Now(), action.request), action.request.deadline);
+           wire::WritePeerRequest(Now(), action.request),
+           action.request.deadline);
 }
 
 void EntryTask::Settle(const core::entry::Settle& action) {
@@ -283,7 +300,8 @@
     return;
   }
   CallPeer(action.call, action.instance, wire::kPeerSettle,
-           wire::WritePeerSettle(Now(), action.request), action.request.deadline);
+           wire::WritePeerSettle(Now(), action.request),
+           action.request.deadline);
 }
 
 void EntryTask::CallLocal(uint64_t call, KeeperMessage message) {
@@ -294,15 +312,18 @@
   local_calls_[call] = true;
 }
 
-void EntryTask::CallPeer(uint64_t call, const std::string& instance, std::string_view path,
-                         std::string body, core::TimePoint deadline) {
+void EntryTask::CallPeer(uint64_t call, const std::string& instance,
+                         std::string_view path, std::string body,
+                         core::TimePoint deadline) {
   wire::PeerClient* peer = PeerFor(instance);
   if (peer == nullptr) {
     Drive(core::entry::PeerFailed{call, /*may_have_arrived=*/false});
     return;
   }
   peer->Call(std::string(path), std::move(body), deadline,
-             [this, call](const wire::PeerResult& result) { OnPeerResult(call, result); });
+             [this, call](const wire::PeerResult& result) {
+               OnPeerResult(call, result);
+             });
 }
 
 void EntryTask::OnPeerResult(uint64_t call, const wire::PeerResult& result) {
@@ -337,7 +358,8 @@
     // The old client may be the one that is calling us; the loop deletes it.
     std::shared_ptr<wire::PeerClient> old = std::move(peer);
     loop_->Post([old] {});
-    peer = std::make_unique<wire::PeerClient>(loop_->base(), known->peer_address);
+    peer =
+        std::make_unique<wire::PeerClient>(loop_->base(), known->peer_address);
     address = known->peer_address;
   }
   return peer.get();
--- a/src/ryefoldd/entry_task.h
+++ b/src/ryefoldd/entry_task.h
@@ -51,23 +51,26 @@
   void OnAdminAnswer(const AdminAnswered& answer);
   void OnReady(const wire::HttpExchange& exchange) const;
   void OnMetrics(const wire::HttpExchange& exchange) const;
-  void Reject(const wire::HttpExchange& exchange, int status, const std::string& error) const;
-  void Reject(const wire::HttpExchange& exchange, int status, const std::string& error,
-              const wire::Findings& findings) const;
+  void Reject(const wire::HttpExchange& exchange, int status,
+              const std::string& error) const;
+  void Reject(const wire::HttpExchange& exchange, int status,
+              const std::string& error, const wire::Findings& findings) const;
 
   void Drive(core::entry::Event event);
   void Perform(const core::entry::Action& action);
   void Respond(const core::entry::Respond& action);
   void Forward(const core::entry::Forward& action);
   void Settle(const core::entry::Settle& action);
-  void CallPeer(uint64_t call, const std::string& instance, std::string_view path,
-                std::string body, core::TimePoint deadline);
+  void CallPeer(uint64_t call, const std::string& instance,
+                std::string_view path, std::string body,
+                core::TimePoint deadline);
   void OnPeerResult(uint64_t call, const wire::PeerResult& result);
   /// Passes a call to the keeper task of this same instance.
   void CallLocal(uint64_t call, KeeperMessage message);
   void LocalTaskFailed();
   wire::PeerClient* PeerFor(const std::string& instance);
-  std::vector<std::string> Ranked(core::TimePoint now, const std::string& group);
+  std::vector<std::string> Ranked(core::TimePoint now,
+                                  const std::string& group);
   void Arm();
   void Sweep();
 
--- a/src/ryefoldd/group_host.cc
+++ b/src/ryefoldd/group_host.cc
@@ -16,21 +16,24 @@
 TimePoint Now() { return std::chrono::steady_clock::now(); }
 
 /// Request ids are unique within a workspace only.
-std::string QueueKey(const std::string& workspace, const std::string& request_id) {
+std::string QueueKey(const std::string& workspace,
+                     const std::string& request_id) {
   return workspace + '\n' + request_id;
 }
 
 std::map<std::string, std::string> AddressesOf(const core::GroupSpec& group) {
   std::map<std::string, std::string> addresses;
   for (const core::DatabaseSpec& database : group.databases) {
-    if (!database.address.empty()) addresses[database.database] = database.address;
+    if (!database.address.empty())
+      addresses[database.database] = database.address;
   }
   return addresses;
 }
 
 }  // namespace
 
-core::GroupSpec GroupOf(const core::Catalog& catalog, const std::string& group) {
+core::GroupSpec GroupOf(const core::Catalog& catalog,
+                        const std::string& group) {
   const auto found = catalog.groups.find(group);
   if (found != catalog.groups.end()) return found->second;
   core::GroupSpec empty;
@@ -47,15 +50,17 @@
   return workspaces;
 }
 
-GroupHost::GroupHost(task::Loop* loop, wire::HttpClient* control, Metrics* metrics,
-                     const Identity& identity, const core::Catalog& catalog,
-                     const std::string& group)
+GroupHost::GroupHost(task::Loop* loop, wire::HttpClient* control,
+                     Metrics* metrics, const Identity& identity,
+                     const core::Catalog& catalog, const std::string& group)
     : loop_(loop),
       metrics_(metrics),
       group_(group),
-      link_(loop, control, [this](const core::group::Event& event) { Drive(event); }),
-      keeper_(GroupOf(catalog, group), WorkspacesOf(catalog, group), identity.instance,
-              identity.failure_domain, core::group::KeeperTiming{}, identity.seed) {
+      link_(loop, control,
+            [this](const core::group::Event& event) { Drive(event); }),
+      keeper_(GroupOf(catalog, group), WorkspacesOf(catalog, group),
+              identity.instance, identity.failure_domain,
+              core::group::KeeperTiming{}, identity.seed) {
   Apply(catalog);
 }
 
@@ -77,7 +82,8 @@
 void GroupHost::Keep(bool intended) {
   if (intended == intended_) return;
   intended_ = intended;
-  LOG(INFO) << "event=" << (intended ? "keep" : "step_down") << " group=" << group_;
+  LOG(INFO) << "event=" << (intended ? "keep" : "step_down")
+            << " group=" << group_;
   if (intended) {
     Drive(core::group::StepUp{});
   } else {
@@ -88,7 +94,8 @@
 uint64_t GroupHost::Statement(core::StatementRequest request, Respond respond) {
   const uint64_t tag = next_tag_++;
   const TimePoint now = Now();
-  waiting_[tag] = Waiting{std::move(respond), request.workspace, request.request_id, now};
+  waiting_[tag] =
+      Waiting{std::move(respond), request.workspace, request.request_id, now};
   queued_[QueueKey(request.workspace, request.request_id)] = now;
   Drive(core::group::RequestArrived{tag, std::move(request)});
   return tag;
@@ -96,12 +103,15 @@
 
 uint64_t GroupHost::Settle(core::SettleRequest request, Respond respond) {
   const uint64_t tag = next_tag_++;
-  waiting_[tag] = Waiting{std::move(respond), request.workspace, request.request_id, Now()};
+  waiting_[tag] =
+      Waiting{std::move(respond), request.workspace, request.request_id, Now()};
   Drive(core::group::SettleArrived{tag, std::move(request)});
   return tag;
 }
 
-void GroupHost::Abandon(uint64_t tag) { Drive(core::group::RequestAbandoned{tag}); }
+void GroupHost::Abandon(uint64_t tag) {
+  Drive(core::group::RequestAbandoned{tag});
+}
 
 bool GroupHost::idle() const { return waiting_.empty() && keeper_.idle(); }
 
@@ -131,9 +141,11 @@
     waiting_.erase(found);
     queued_.erase(QueueKey(waiting.workspace, waiting.request_id));
     waiting.respond(respond->answer);
-  } else if (const auto* open = std::get_if<core::group::OpenConnection>(&action)) {
+  } else if (const auto* open =
+                 std::get_if<core::group::OpenConnection>(&action)) {
     link_.Open(*open);
-  } else if (const auto* close = std::get_if<core::group::CloseConnection>(&action)) {
+  } else if (const auto* close =
+                 std::get_if<core::group::CloseConnection>(&action)) {
     link_.Close(*close);
   } else if (const auto* execute = std::get_if<core::group::Execute>(&action)) {
     NoteDequeued(execute->call);
@@ -146,7 +158,8 @@
 void GroupHost::NoteDequeued(const core::ExecuteCall& call) {
   const auto queued = queued_.find(QueueKey(call.workspace, call.request_id));
   if (queued == queued_.end()) return;
-  const auto waited = std::chrono::duration_cast<microseconds>(Now() - queued->second);
+  const auto waited =
+      std::chrono::duration_cast<microseconds>(Now() - queued->second);
   queued_.erase(queued);
   metrics_->Dequeued(call.workspace, PriorityOf(call.workspace), waited);
 }
--- a/src/ryefoldd/group_host.h
+++ b/src/ryefoldd/group_host.h
@@ -28,8 +28,9 @@
     uint64_t seed = 0;
   };
 
-  GroupHost(task::Loop* loop, wire::HttpClient* control, Metrics* metrics, const Identity& identity,
-            const core::Catalog& catalog, const std::string& group);
+  GroupHost(task::Loop* loop, wire::HttpClient* control, Metrics* metrics,
+            const Identity& identity, const core::Catalog& catalog,
+            const std::string& group);
   ~GroupHost();
   GroupHost(const GroupHost&) = delete;
   GroupHost& operator=(const GroupHost&) = delete;
--- a/src/ryefoldd/keeper_task.cc
+++ b/src/ryefoldd/keeper_task.cc
@@ -26,7 +26,8 @@
 core::TimePoint Now() { return std::chrono::steady_clock::now(); }
 
 core::StatementAnswer Refused(core::Reason reason) {
-  return core::StatementAnswer::NotRun(core::NotRunProof::NeverSent(), reason, kRetryElsewhere);
+  return core::StatementAnswer::NotRun(core::NotRunProof::NeverSent(), reason,
+                                       kRetryElsewhere);
 }
 
 }  // namespace
@@ -41,7 +42,8 @@
       loop->base(), [this](const wire::PeerCall& call) { OnPeerCall(call); });
   const std::string problem = peers_->Listen(wiring_->settings.peer_address);
   if (!problem.empty()) throw std::runtime_error("peer port: " + problem);
-  wiring_->keeper.Open(loop, [this](KeeperMessage message) { OnMessage(std::move(message)); });
+  wiring_->keeper.Open(
+      loop, [this](KeeperMessage message) { OnMessage(std::move(message)); });
   wiring_->peers_listening = true;
   wiring_->control.Send(TaskStarted{});
   Sweep();
@@ -60,14 +62,16 @@
     Apply(catalog->catalog);
   } else if (auto* statement = std::get_if<LocalStatement>(&message)) {
     const uint64_t call = statement->call;
-    Statement(std::move(statement->request), [this, call](const core::StatementAnswer& answer) {
-      wiring_->entry.Send(LocalAnswered{call, answer});
-    });
+    Statement(std::move(statement->request),
+              [this, call](const core::StatementAnswer& answer) {
+                wiring_->entry.Send(LocalAnswered{call, answer});
+              });
   } else if (auto* settle = std::get_if<LocalSettle>(&message)) {
     const uint64_t call = settle->call;
-    Settle(std::move(settle->request), [this, call](const core::StatementAnswer& answer) {
-      wiring_->entry.Send(LocalAnswered{call, answer});
-    });
+    Settle(std::move(settle->request),
+           [this, call](const core::StatementAnswer& answer) {
+             wiring_->entry.Send(LocalAnswered{call, answer});
+           });
   } else if (auto* duties = std::get_if<DutiesChanged>(&message)) {
     ApplyDuties(duties->keep);
   } else if (auto* reply = std::get_if<ControlReplied>(&message)) {
@@ -94,7 +98,8 @@
 }
 
 void KeeperTask::OnPeerStatement(const wire::PeerCall& call) {
-  std::optional<core::StatementRequest> request = wire::ReadPeerRequest(Now(), call.body());
+  std::optional<core::StatementRequest> request =
+      wire::ReadPeerRequest(Now(), call.body());
   if (!request) {
     call.Refuse();
     return;
@@ -105,7 +110,8 @@
 }
 
 void KeeperTask::OnPeerSettle(const wire::PeerCall& call) {
-  std::optional<core::SettleRequest> request = wire::ReadPeerSettle(Now(), call.body());
+  std::optional<core::SettleRequest> request =
+      wire::ReadPeerSettle(Now(), call.body());
   if (!request) {
     call.Refuse();
     return;
@@ -128,26 +134,31 @@
 GroupHost* KeeperTask::HostFor(const std::string& group) {
   const auto found = hosts_.find(group);
   if (found != hosts_.end()) return found->second.get();
-  if (draining_ || !catalog_ || catalog_->groups.count(group) == 0) return nullptr;
-  const GroupHost::Identity identity{wiring_->settings.name, wiring_->settings.failure_domain,
+  if (draining_ || !catalog_ || catalog_->groups.count(group) == 0)
+    return nullptr;
+  const GroupHost::Identity identity{wiring_->settings.name,
+                                     wiring_->settings.failure_domain,
                                      std::random_device()()};
-  auto host = std::make_unique<GroupHost>(loop_, control_.get(), &wiring_->metrics, identity,
-                                          *catalog_, group);
+  auto host = std::make_unique<GroupHost>(
+      loop_, control_.get(), &wiring_->metrics, identity, *catalog_, group);
   LOG(INFO) << "event=keeper_started group=" << group;
   return hosts_.emplace(group, std::move(host)).first->second.get();
 }
 
-void KeeperTask::Statement(core::StatementRequest request, const GroupHost::Respond& respond) {
+void KeeperTask::Statement(core::StatementRequest request,
+                           const GroupHost::Respond& respond) {
   GroupHost* host = HostFor(request.group);
   if (host == nullptr) {
-    respond(Refused(draining_ ? core::Reason::kShuttingDown : core::Reason::kUnknownGroup));
+    respond(Refused(draining_ ? core::Reason::kShuttingDown
+                              : core::Reason::kUnknownGroup));
     return;
   }
   NoteAsked(request.group);
   host->Statement(std::move(request), respond);
 }
 
-void KeeperTask::Settle(core::SettleRequest request, const GroupHost::Respond& respond) {
+void KeeperTask::Settle(core::SettleRequest request,
+                        const GroupHost::Respond& respond) {
   GroupHost* host = HostFor(request.group);
   if (host == nullptr) {
     // Not settled here says nothing about the statement itself.
--- a/src/ryefoldd/keeper_task.h
+++ b/src/ryefoldd/keeper_task.h
@@ -35,7 +35,8 @@
   /// The host of a group, made on first use; null when the group is not in
   /// the catalog or this instance is leaving.
   GroupHost* HostFor(const std::string& group);
-  void Statement(core::StatementRequest request, const GroupHost::Respond& respond);
+  void Statement(core::StatementRequest request,
+                 const GroupHost::Respond& respond);
   void Settle(core::SettleRequest request, const GroupHost::Respond& respond);
   void Apply(const CatalogPtr& catalog);
   void ApplyDuties(const std::vector<std::string>& keep);
--- a/src/ryefoldd/main.cc
+++ b/src/ryefoldd/main.cc
@@ -85,8 +85,8 @@
   std::this_thread::sleep_for(kDrainSettle);
   const auto bound = std::chrono::steady_clock::now() + kDrainBound;
   while (std::chrono::steady_clock::now() < bound) {
-    const uint64_t left =
-        wiring->entry_in_progress + wiring->keeper_in_progress + wiring->keepers_open;
+    const uint64_t left = wiring->entry_in_progress +
+                          wiring->keeper_in_progress + wiring->keepers_open;
     if (left == 0) break;
     std::this_thread::sleep_for(kPoll);
   }
@@ -94,7 +94,8 @@
             << " keeper_in_progress=" << wiring->keeper_in_progress;
 }
 
-bool WaitUntilListening(const Wiring& wiring, const std::atomic<bool>& gave_up) {
+bool WaitUntilListening(const Wiring& wiring,
+                        const std::atomic<bool>& gave_up) {
   const auto bound = std::chrono::steady_clock::now() + kStartBound;
   while (!(wiring.entry_listening && wiring.peers_listening)) {
     if (gave_up || std::chrono::steady_clock::now() > bound) return false;
@@ -108,14 +109,18 @@
 void FillTree(task::Supervisor* supervisor, Wiring* wiring) {
   supervisor->OnChild([wiring](const task::ChildEvent& event) {
     if (event.failure.empty()) return;
-    LOG(ERROR) << "event=task_failed task=" << event.child << " restarted=" << event.restarted
-               << " failure=\"" << event.failure << "\"";
+    LOG(ERROR) << "event=task_failed task=" << event.child
+               << " restarted=" << event.restarted << " failure=\""
+               << event.failure << "\"";
     wiring->metrics.TaskRestarted(event.child);
     if (event.child == "keeper") wiring->entry.Send(KeeperTaskFailed{});
   });
-  supervisor->Add("control", [wiring] { return std::make_unique<ControlTask>(wiring); });
-  supervisor->Add("keeper", [wiring] { return std::make_unique<KeeperTask>(wiring); });
-  supervisor->Add("entry", [wiring] { return std::make_unique<EntryTask>(wiring); });
+  supervisor->Add("control",
+                  [wiring] { return std::make_unique<ControlTask>(wiring); });
+  supervisor->Add("keeper",
+                  [wiring] { return std::make_unique<KeeperTask>(wiring); });
+  supervisor->Add("entry",
+                  [wiring] { return std::make_unique<EntryTask>(wiring); });
 }
 
 int Serve(const settings::InstanceSettings& instance) {
@@ -125,7 +130,8 @@
   FillTree(&supervisor, &wiring);
   supervisor.Start();
   std::atomic<bool> gave_up{false};
-  std::thread watcher([&supervisor, &gave_up] { gave_up = !supervisor.Wait(); });
+  std::thread watcher(
+      [&supervisor, &gave_up] { gave_up = !supervisor.Wait(); });
   if (WaitUntilListening(wiring, gave_up)) {
     std::cout << "listening callers=" << instance.caller_address
               << " peers=" << instance.peer_address << std::endl;
@@ -145,13 +151,15 @@
 int Run(const Flags& flags) {
   std::string text;
   if (!ReadFile(flags.settings, &text)) {
-    std::cerr << flags.settings << ": cannot be read: " << std::strerror(errno) << "\n";
+    std::cerr << flags.settings << ": cannot be read: " << std::strerror(errno)
+              << "\n";
     return kExitUsage;
   }
   wire::Findings findings;
   const settings::InstanceSettings instance =
       settings::ParseInstanceSettings(flags.settings, text, &findings);
-  for (const wire::Finding& finding : findings) std::cerr << wire::ToText(finding) << "\n";
+  for (const wire::Finding& finding : findings)
+    std::cerr << wire::ToText(finding) << "\n";
   if (!findings.empty()) return kExitFindings;
   if (flags.check) {
     std::cout << flags.settings << ": no findings\n";
@@ -164,17 +172,21 @@
 }  // namespace ryefold::ryefoldd
 
 int main(int argc, char** argv) {
-  cxxopts::Options options("ryefoldd", "Database proxy with session consistency.");
-  options.add_options()("settings", "settings file, JSON with comments (docs/SETTINGS.md)",
+  cxxopts::Options options("ryefoldd",
+                           "Database proxy with session consistency.");
+  options.add_options()("settings",
+                        "settings file, JSON with comments (docs/SETTINGS.md)",
                         cxxopts::value<std::string>())(
-      "check-settings", "report every finding in the settings file and exit")("h,help",
-                                                                              "show this text");
+      "check-settings", "report every finding in the settings file and exit")(
+      "h,help", "show this text");
   ryefold::ryefoldd::Flags flags;
   try {
     const cxxopts::ParseResult parsed = options.parse(argc, argv);
     if (parsed.count("help") > 0) {
-      std::cout << options.help() << "\nExit codes: 0 ended in order, 1 findings in the settings, "
-                                     "2 usage, 3 a task kept failing.\n";
+      std::cout
+          << options.help()
+          << "\nExit codes: 0 ended in order, 1 findings in the settings, "
+             "2 usage, 3 a task kept failing.\n";
       return 0;
     }
     if (parsed.count("settings") == 0) {
--- a/src/ryefoldd/messages.h
+++ b/src/ryefoldd/messages.h
@@ -36,7 +36,8 @@
 /// A keeper of this same instance answered.
 struct LocalAnswered {
   uint64_t call = 0;
-  core::StatementAnswer answer = core::StatementAnswer::Unknown(core::Reason::kNone);
+  core::StatementAnswer answer =
+      core::StatementAnswer::Unknown(core::Reason::kNone);
 };
 /// The keeper task failed; calls it had taken may or may not have run.
 struct KeeperTaskFailed {};
@@ -53,8 +54,9 @@
   int status = 500;
   std::string body;
 };
-using EntryMessage = std::variant<CatalogInForce, BeginDrain, LocalAnswered, KeeperTaskFailed,
-                                  RosterChanged, ReadinessChanged, AdminAnswered>;
+using EntryMessage =
+    std::variant<CatalogInForce, BeginDrain, LocalAnswered, KeeperTaskFailed,
+                 RosterChanged, ReadinessChanged, AdminAnswered>;
 
 // ---- to the keeper ----
 
@@ -79,8 +81,9 @@
 struct StatusAsked {
   uint64_t tag = 0;
 };
-using KeeperMessage = std::variant<CatalogInForce, BeginDrain, LocalStatement, LocalSettle,
-                                   DutiesChanged, ControlReplied, StatusAsked>;
+using KeeperMessage =
+    std::variant<CatalogInForce, BeginDrain, LocalStatement, LocalSettle,
+                 DutiesChanged, ControlReplied, StatusAsked>;
 
 // ---- to control ----
 
@@ -117,8 +120,10 @@
 };
 /// A task has (re)started and knows nothing yet.
 struct TaskStarted {};
-using ControlMessage = std::variant<BeginDrain, TaskStarted, PeerAsked, AdminAsked, InstanceSuspected,
-                                    InstanceTrusted, GroupAsked, KeepersReported>;
+using ControlMessage =
+    std::variant<BeginDrain, TaskStarted, PeerAsked, AdminAsked,
+                 InstanceSuspected, InstanceTrusted, GroupAsked,
+                 KeepersReported>;
 
 /// Mailboxes, settings and counters that the tasks are built with. Outlives
 /// every run of every task.
--- a/src/ryefoldd/metrics.cc
+++ b/src/ryefoldd/metrics.cc
@@ -57,28 +57,40 @@
   };
 
   Impl()
-      : latency_(HistogramFamily("ryefold_request_seconds", "Time to answer, by workspace")),
-        class_latency_(
-            HistogramFamily("ryefold_class_request_seconds", "Time to answer, by priority class")),
-        wait_(HistogramFamily("ryefold_queue_wait_seconds",
-                              "Wait in the keeper's queue, by workspace and class")),
-        outcomes_(CounterFamily("ryefold_outcomes_total", "Answers by outcome and reason")),
-        replica_reads_(
-            CounterFamily("ryefold_replica_answers_total", "Answers served by a replica")),
-        rejected_(CounterFamily("ryefold_rejected_total", "Requests turned away, by status")),
-        restarts_(CounterFamily("ryefold_task_restarts_total", "Failed tasks restarted")),
-        store_calls_(CounterFamily("ryefold_store_calls_total", "Calls to the platform")),
-        keeper_(GaugeFamily("ryefold_keeper", "State of a keeper, by group and figure")),
-        database_(GaugeFamily("ryefold_database", "State of a database as its keeper sees it")),
-        instance_(GaugeFamily("ryefold_instance", "State of this instance, by figure")) {}
+      : latency_(HistogramFamily("ryefold_request_seconds",
+                                 "Time to answer, by workspace")),
+        class_latency_(HistogramFamily("ryefold_class_request_seconds",
+                                       "Time to answer, by priority class")),
+        wait_(HistogramFamily(
+            "ryefold_queue_wait_seconds",
+            "Wait in the keeper's queue, by workspace and class")),
+        outcomes_(CounterFamily("ryefold_outcomes_total",
+                                "Answers by outcome and reason")),
+        replica_reads_(CounterFamily("ryefold_replica_answers_total",
+                                     "Answers served by a replica")),
+        rejected_(CounterFamily("ryefold_rejected_total",
+                                "Requests turned away, by status")),
+        restarts_(CounterFamily("ryefold_task_restarts_total",
+                                "Failed tasks restarted")),
+        store_calls_(CounterFamily("ryefold_store_calls_total",
+                                   "Calls to the platform")),
+        keeper_(GaugeFamily("ryefold_keeper",
+                            "State of a keeper, by group and figure")),
+        database_(GaugeFamily("ryefold_database",
+                              "State of a database as its keeper sees it")),
+        instance_(GaugeFamily("ryefold_instance",
+                              "State of this instance, by figure")) {}
 
   PerWorkspace& Of(const std::string& workspace, uint32_t priority) {
     PerWorkspace& entry = workspaces_[{workspace, priority}];
     if (entry.latency == nullptr) {
       const std::string level = std::to_string(priority);
-      entry.latency = &latency_.Add({{"workspace", workspace}}, LatencyBuckets());
-      entry.class_latency = &class_latency_.Add({{"class", level}}, LatencyBuckets());
-      entry.wait = &wait_.Add({{"workspace", workspace}, {"class", level}}, LatencyBuckets());
+      entry.latency =
+          &latency_.Add({{"workspace", workspace}}, LatencyBuckets());
+      entry.class_latency =
+          &class_latency_.Add({{"class", level}}, LatencyBuckets());
+      entry.wait = &wait_.Add({{"workspace", workspace}, {"class", level}},
+                              LatencyBuckets());
       entry.replica_reads = &replica_reads_.Add({{"workspace", workspace}});
     }
     return entry;
@@ -88,18 +100,21 @@
                    const core::StatementAnswer& answer) {
     Counter*& counter = entry->outcomes[{answer.kind(), answer.reason()}];
     if (counter == nullptr) {
-      counter = &outcomes_.Add({{"workspace", workspace},
-                                {"outcome", std::string(OutcomeName(answer.kind()))},
-                                {"reason", std::string(core::ReasonName(answer.reason()))}});
+      counter = &outcomes_.Add(
+          {{"workspace", workspace},
+           {"outcome", std::string(OutcomeName(answer.kind()))},
+           {"reason", std::string(core::ReasonName(answer.reason()))}});
     }
     return *counter;
   }
 
-  void KeeperFigure(const std::string& group, const std::string& figure, double value) {
+  void KeeperFigure(const std::string& group, const std::string& figure,
+                    double value) {
     keeper_.Add({{"group", group}, {"figure", figure}}).Set(value);
   }
 
-  void DatabaseFigure(const std::string& database, const std::string& figure, double value) {
+  void DatabaseFigure(const std::string& database, const std::string& figure,
+                      double value) {
     database_.Add({{"database", database}, {"figure", figure}}).Set(value);
   }
 
@@ -120,7 +135,8 @@
 
  private:
   Family<Histogram>& HistogramFamily(const char* name, const char* help) {
-    return prometheus::BuildHistogram().Name(name).Help(help).Register(registry_);
+    return prometheus::BuildHistogram().Name(name).Help(help).Register(
+        registry_);
   }
   Family<Counter>& CounterFamily(const char* name, const char* help) {
     return prometheus::BuildCounter().Name(name).Help(help).Register(registry_);
@@ -134,7 +150,8 @@
 Metrics::~Metrics() = default;
 
 void Metrics::Answered(const std::string& workspace, uint32_t priority,
-                       const core::StatementAnswer& answer, std::chrono::microseconds latency) {
+                       const core::StatementAnswer& answer,
+                       std::chrono::microseconds latency) {
   std::lock_guard<std::mutex> lock(impl_->mutex_);
   Impl::PerWorkspace& entry = impl_->Of(workspace, priority);
   entry.latency->Observe(Seconds(latency));
@@ -162,38 +179,52 @@
     impl_->KeeperFigure(view.group, "queued", view.queued);
     impl_->KeeperFigure(view.group, "unconfirmed", view.unconfirmed);
     impl_->KeeperFigure(view.group, "term", static_cast<double>(view.term));
-    impl_->KeeperFigure(view.group, "failovers", static_cast<double>(view.failovers));
-    impl_->KeeperFigure(view.group, "reads_replica", static_cast<double>(view.reads_replica));
-    impl_->KeeperFigure(view.group, "reads_primary", static_cast<double>(view.reads_primary));
+    impl_->KeeperFigure(view.group, "failovers",
+                        static_cast<double>(view.failovers));
+    impl_->KeeperFigure(view.group, "reads_replica",
+                        static_cast<double>(view.reads_replica));
+    impl_->KeeperFigure(view.group, "reads_primary",
+                        static_cast<double>(view.reads_primary));
     impl_->KeeperFigure(view.group, "writes", static_cast<double>(view.writes));
-    impl_->KeeperFigure(view.group, "refused", static_cast<double>(view.refused));
+    impl_->KeeperFigure(view.group, "refused",
+                        static_cast<double>(view.refused));
     for (const core::group::DatabaseView& database : view.databases) {
-      impl_->DatabaseFigure(database.database, "reachable", database.reachable ? 1 : 0);
-      impl_->DatabaseFigure(database.database, "primary", database.primary ? 1 : 0);
-      impl_->DatabaseFigure(database.database, "connections", database.connections);
+      impl_->DatabaseFigure(database.database, "reachable",
+                            database.reachable ? 1 : 0);
+      impl_->DatabaseFigure(database.database, "primary",
+                            database.primary ? 1 : 0);
+      impl_->DatabaseFigure(database.database, "connections",
+                            database.connections);
       impl_->DatabaseFigure(database.database, "running", database.running);
-      impl_->DatabaseFigure(database.database, "lag_seconds",
-                            std::chrono::duration<double>(database.lag).count());
+      impl_->DatabaseFigure(
+          database.database, "lag_seconds",
+          std::chrono::duration<double>(database.lag).count());
     }
   }
 }
 
 void Metrics::CallerConnections(size_t open) {
-  impl_->instance_.Add({{"figure", "caller_connections"}}).Set(static_cast<double>(open));
+  impl_->instance_.Add({{"figure", "caller_connections"}})
+      .Set(static_cast<double>(open));
 }
 
 void Metrics::Configuration(uint64_t revision, bool ready) {
-  impl_->instance_.Add({{"figure", "revision"}}).Set(static_cast<double>(revision));
+  impl_->instance_.Add({{"figure", "revision"}})
+      .Set(static_cast<double>(revision));
   impl_->instance_.Add({{"figure", "ready"}}).Set(ready ? 1 : 0);
 }
 
 void Metrics::ControlBytes(uint64_t sent, uint64_t received) {
-  impl_->instance_.Add({{"figure", "control_bytes_sent"}}).Set(static_cast<double>(sent));
-  impl_->instance_.Add({{"figure", "control_bytes_received"}}).Set(static_cast<double>(received));
+  impl_->instance_.Add({{"figure", "control_bytes_sent"}})
+      .Set(static_cast<double>(sent));
+  impl_->instance_.Add({{"figure", "control_bytes_received"}})
+      .Set(static_cast<double>(received));
 }
 
 void Metrics::StoreCall(const std::string& kind, bool answered) {
-  impl_->store_calls_.Add({{"kind", kind}, {"answered", answered ? "yes" : "no"}}).Increment();
+  impl_->store_calls_
+      .Add({{"kind", kind}, {"answered", answered ? "yes" : "no"}})
+      .Increment();
 }
 
 std::string Metrics::Text() const {
--- a/src/ryefoldd/metrics.h
+++ b/src/ryefoldd/metrics.h
@@ -25,10 +25,12 @@
   /// counted by outcome and reason. `workspace` must be a configured one: a
   /// name that a caller made up would grow the page without bound.
   void Answered(const std::string& workspace, uint32_t priority,
-                const core::StatementAnswer& answer, std::chrono::microseconds latency);
+                const core::StatementAnswer& answer,
+                std::chrono::microseconds latency);
 
   /// A statement left the keeper's queue after waiting this long.
-  void Dequeued(const std::string& workspace, uint32_t priority, std::chrono::microseconds waited);
+  void Dequeued(const std::string& workspace, uint32_t priority,
+                std::chrono::microseconds waited);
 
   /// A body, key or address that was turned away, by HTTP status.
   void Rejected(int status);
