--- a/testsuite/standins/database/debug.cc
+++ b/testsuite/standins/database/debug.cc
@@ -102,9 +102,8 @@
     AppendUint(&out, call.term);
     AppendCount(&out, "connection", call.connection);
     AppendMember(&out, "step", StepName(call.step));
-    AppendMember(
-        &out, "kind",
-        call.kind == core::StatementKind::kRead ? "read" : "write");
+    AppendMember(&out, "kind",
+                 call.kind == core::StatementKind::kRead ? "read" : "write");
     AppendMember(&out, "workspace", call.workspace);
     AppendMember(&out, "request_id", call.request_id);
     out.push_back('}');
--- a/testsuite/standins/database/server.cc
+++ b/testsuite/standins/database/server.cc
@@ -266,8 +266,8 @@
   const bool nothing = answer.status == LogStatus::kOk && answer.count == 0;
   if (nothing && !over) {
     if (answer.next_due && *answer.next_due < waiter.deadline) {
-      const auto until = std::chrono::ceil<std::chrono::microseconds>(
-          *answer.next_due - now);
+      const auto until =
+          std::chrono::ceil<std::chrono::microseconds>(*answer.next_due - now);
       After(base_, until, [this, id] {
         const auto found = log_waiters_.find(id);
         if (found == log_waiters_.end()) return;
--- a/testsuite/standins/lib/database.cc
+++ b/testsuite/standins/lib/database.cc
@@ -126,9 +126,9 @@
                << " index=" << entry.position.index;
   }
   if (entry.record) {
-    sql_->PutRecord(entry.workspace, entry.request_id,
-                    {entry.kind == EntryKind::kFence, entry.result_json,
-                     entry.position});
+    sql_->PutRecord(
+        entry.workspace, entry.request_id,
+        {entry.kind == EntryKind::kFence, entry.result_json, entry.position});
   }
   CHECK(sql_->Commit()) << "event=replay_failed database=" << name_
                         << " index=" << entry.position.index;
@@ -140,12 +140,11 @@
 }
 
 bool Database::Replay(const std::vector<LoggedStatement>& statements) {
-  return std::all_of(statements.begin(), statements.end(),
-                     [this](const LoggedStatement& statement) {
-                       return sql_
-                           ->Run(statement.sql, statement.params_json, false)
-                           .ok();
-                     });
+  return std::all_of(
+      statements.begin(), statements.end(),
+      [this](const LoggedStatement& statement) {
+        return sql_->Run(statement.sql, statement.params_json, false).ok();
+      });
 }
 
 Entry Database::NewEntry(core::TimePoint now, EntryKind kind) const {
--- a/testsuite/standins/lib/database_json.cc
+++ b/testsuite/standins/lib/database_json.cc
@@ -91,8 +91,8 @@
   call.term = (*object)["term"].asUInt64();
   const std::string kind = StringOf(*object, "kind");
   if (kind != "read" && kind != "write") return std::nullopt;
-  call.kind = kind == "read" ? core::StatementKind::kRead
-                             : core::StatementKind::kWrite;
+  call.kind =
+      kind == "read" ? core::StatementKind::kRead : core::StatementKind::kWrite;
   call.request_id = StringOf(*object, "request_id");
   call.workspace = StringOf(*object, "workspace");
   call.record = BoolOf(*object, "record");
--- a/testsuite/standins/lib/http.cc
+++ b/testsuite/standins/lib/http.cc
@@ -216,8 +216,7 @@
   uint16_t port = 0;
   SplitAddress(address_, &ip, &port);
   if (connection_ == nullptr) {
-    connection_ =
-        evhttp_connection_base_new(base_, nullptr, ip.c_str(), port);
+    connection_ = evhttp_connection_base_new(base_, nullptr, ip.c_str(), port);
   }
   const timeval limit{timeout.count() / 1000, timeout.count() % 1000 * 1000};
   evhttp_connection_set_timeout_tv(connection_, &limit);
@@ -245,8 +244,8 @@
 void HttpClient::Cancel() {
   if (call_) call_->client = nullptr;
   if (connection_ == nullptr) return;
-  auto* abandoned = new Abandoned{std::exchange(connection_, nullptr),
-                                  std::move(call_)};
+  auto* abandoned =
+      new Abandoned{std::exchange(connection_, nullptr), std::move(call_)};
   // Cancel may be called out of the connection's own callback, so the
   // connection is freed a turn of the loop later.
   const timeval at_once{0, 0};
--- a/testsuite/standins/lib/sql_engine.cc
+++ b/testsuite/standins/lib/sql_engine.cc
@@ -231,10 +231,9 @@
   if (known != statements_.end()) return known->second;
   sqlite3_stmt* statement = nullptr;
   const char* tail = nullptr;
-  if (sqlite3_prepare_v3(database_, sql.c_str(),
-                         static_cast<int>(sql.size()) + 1,
-                         SQLITE_PREPARE_PERSISTENT, &statement,
-                         &tail) != SQLITE_OK) {
+  if (sqlite3_prepare_v3(
+          database_, sql.c_str(), static_cast<int>(sql.size()) + 1,
+          SQLITE_PREPARE_PERSISTENT, &statement, &tail) != SQLITE_OK) {
     *error = sqlite3_errmsg(database_);
     return nullptr;
   }
--- a/testsuite/standins/platform/server.cc
+++ b/testsuite/standins/platform/server.cc
@@ -103,9 +103,8 @@
 void PlatformServer::Answer(const Exchange& exchange, int status,
                             const std::string& body) {
   if (faults_.slow.count() == 0) return Send(exchange, status, body);
-  After(base_, faults_.slow, [this, exchange, status, body] {
-    Send(exchange, status, body);
-  });
+  After(base_, faults_.slow,
+        [this, exchange, status, body] { Send(exchange, status, body); });
 }
 
 void PlatformServer::Send(const Exchange& exchange, int status,
