--- /dev/null
+++ b/scripts/soak.sh
@@ -0,0 +1,17 @@
+#!/usr/bin/env bash
+# Runs the random tests with a fresh seed and many more cases. Prints the
+# seed first, so that a failing run can be repeated:
+#   RC_PARAMS="seed=N max_success=M" build/testsuite/test_NAME
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build="${BUILD:-build}"
+seed="${SEED:-$(date +%s)}"
+cases="${CASES:-3000}"
+export RC_PARAMS="seed=$seed max_success=$cases"
+echo "RC_PARAMS=\"$RC_PARAMS\""
+failed=0
+for test in $(grep -l 'RC_GTEST' testsuite/*/*.cc | xargs -n 1 dirname | sort -u | xargs -n 1 basename); do
+  echo "== $test"
+  "$build/testsuite/test_$test" --gtest_brief=1 || { echo "FAILED: $test with $RC_PARAMS"; failed=1; }
+done
+exit "$failed"
--- a/src/bench/load.cc
+++ b/src/bench/load.cc
@@ -4,6 +4,11 @@
 //   bench_load --target IP:PORT --workspace W --key K --group G ...
 //   bench_load --direct IP:PORT ...
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <atomic>
 #include <chrono>
@@ -171,6 +176,31 @@
   loop.Run();
 }
 
+/// Opens connections, sends nothing on them and holds them until `end`.
+int HoldIdle(const std::string& target, int count, TimePoint end) {
+  const size_t colon = target.rfind(':');
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port =
+      htons(static_cast<uint16_t>(std::stoi(target.substr(colon + 1))));
+  inet_pton(AF_INET, target.substr(0, colon).c_str(), &address.sin_addr);
+  std::vector<int> sockets;
+  for (int i = 0; i < count; ++i) {
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const auto* peer = reinterpret_cast<const sockaddr*>(&address);
+    if (fd < 0 || connect(fd, peer, sizeof(address)) != 0) {
+      std::cerr << "bench_load: only " << i << " of " << count
+                << " connections\n";
+      return 1;
+    }
+    sockets.push_back(fd);
+  }
+  std::cout << "holding " << count << std::endl;
+  std::this_thread::sleep_until(end);
+  for (const int fd : sockets) close(fd);
+  return 0;
+}
+
 double Percentile(const std::vector<microseconds>& sorted, double share) {
   if (sorted.empty()) return 0;
   const auto last = static_cast<double>(sorted.size() - 1);
@@ -247,6 +277,12 @@
       std::cout << flags.help() << "\nGive either --target or --direct.\n";
       return parsed.count("help") > 0 ? 0 : 2;
     }
+    if (parsed.count("idle") > 0) {
+      return ryefold::bench::HoldIdle(
+          parsed["target"].as<std::string>(), parsed["idle"].as<int>(),
+          std::chrono::steady_clock::now() +
+              std::chrono::seconds(parsed["seconds"].as<int>()));
+    }
     ryefold::bench::Options options;
     options.direct = parsed.count("direct") > 0;
     options.target =
