--- a/src/include/ryefold/core/group/reads.h
+++ b/src/include/ryefold/core/group/reads.h
@@ -42,10 +42,9 @@
  public:
   explicit Reads(std::string near) : near_(std::move(near)) {}
 
-  /// The primary of the term in force answered a call with `last`. `asked` is
-  /// when the call was sent whose answer came before this one: it may have
-  /// moved past its earlier position at any time since.
-  void PrimaryAt(TimePoint now, TimePoint asked, const LogPosition& last);
+  /// The primary of the term in force answered a call, sent at `sent`, with
+  /// `last`.
+  void PrimaryAt(TimePoint now, TimePoint sent, const LogPosition& last);
   /// A replica was seen at `last`.
   void ReplicaAt(TimePoint now, const std::string& database,
                  const LogPosition& last);
--- a/src/libcore/group/keeper_control.cc
+++ b/src/libcore/group/keeper_control.cc
@@ -69,11 +69,7 @@
   dropped_.erase(database);
   if (status.role == DatabaseRole::kPrimary &&
       status.adopted_term >= leadership_.term()) {
-    // It can have moved on at any time since the call before this one.
-    const auto asked = primary_asked_.find(database);
-    reads_.PrimaryAt(now_, asked == primary_asked_.end() ? sent : asked->second,
-                     status.last);
-    primary_asked_[database] = sent;
+    reads_.PrimaryAt(now_, sent, status.last);
   } else {
     reads_.ReplicaAt(now_, database, status.last);
   }
--- a/src/libcore/group/keeper_impl.h
+++ b/src/libcore/group/keeper_impl.h
@@ -175,7 +175,6 @@
   std::optional<TimePoint> gap_until_;
   /// Until when a group without a primary is worth waiting for.
   TimePoint patience_until_;
-  std::map<std::string, TimePoint> primary_asked_;
   std::set<std::string> dropped_;
   /// When each leaving database was marked so.
   std::map<std::string, TimePoint> leaving_since_;
--- a/src/libcore/group/reads.cc
+++ b/src/libcore/group/reads.cc
@@ -23,8 +23,10 @@
 
 }  // namespace
 
-void Reads::PrimaryAt(TimePoint now, TimePoint asked, const LogPosition& last) {
-  ages_.PrimaryAt(asked, last);
+void Reads::PrimaryAt(TimePoint now, TimePoint sent, const LogPosition& last) {
+  // It had no more than `last` when the call was sent; since then it can have
+  // moved on unseen.
+  ages_.PrimaryAt(sent, last);
   if (!marks_.empty() && last <= marks_.back().position) return;
   marks_.push_back({last, now});
   if (marks_.size() > kMaxMarks) marks_.pop_front();
--- /dev/null
+++ b/testsuite/support/group/fake_group.h
@@ -0,0 +1,296 @@
+#pragma once
+
+// A database group with one or two keepers and clients on it, and the check of
+// what the clients were told against the databases' own logs.
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "testsuite/support/group/keeper_host.h"
+
+namespace ryefold::test {
+
+struct GroupShape {
+  DatabaseShape database;
+  NetworkShape network;
+  core::group::KeeperTiming timing;
+  core::GroupSpec spec;
+  std::vector<core::WorkspacePolicy> workspaces;
+};
+
+/// Profile of a deployment: one-way delay between failure domains and time for
+/// a new connection.
+inline GroupShape ShapeOf(Duration one_way, milliseconds connect_time,
+                          uint32_t connection_limit = 20) {
+  GroupShape shape;
+  shape.database.peer_delay = one_way;
+  shape.database.connection_limit = connection_limit;
+  shape.network.one_way = one_way;
+  shape.network.connect_time = connect_time;
+  shape.spec.group = "passports";
+  shape.spec.connection_limit = connection_limit;
+  shape.spec.connect_time = connect_time;
+  for (const char* name : {"a", "b", "c"}) {
+    core::DatabaseSpec database;
+    database.database = name;
+    database.failure_domain = name;
+    shape.spec.databases.push_back(database);
+  }
+  core::WorkspacePolicy gate;
+  gate.workspace = "gate";
+  gate.connection_share = 14;
+  shape.workspaces.push_back(gate);
+  return shape;
+}
+inline GroupShape Tamworth() {
+  return ShapeOf(std::chrono::microseconds(500), milliseconds(10), 20);
+}
+inline GroupShape Zendmast() {
+  return ShapeOf(milliseconds(1), milliseconds(30), 40);
+}
+
+/// One request as its caller knows it.
+struct Asked {
+  core::StatementRequest request;
+  TimePoint at;
+  std::optional<core::StatementAnswer> answer;
+  TimePoint answered_at;
+  int answers = 0;
+  int keeper = 0;
+};
+
+class FakeGroup {
+ public:
+  using Then = std::function<void(const core::StatementAnswer&)>;
+
+  FakeGroup(GroupShape shape, uint64_t seed)
+      : shape_(std::move(shape)), random_(seed) {
+    for (const auto& spec : shape_.spec.databases) {
+      databases_[spec.database] = std::make_unique<FakeDatabase>(
+          spec.database, &queue_,
+          [this](const std::string& name) { return databases_[name].get(); },
+          shape_.database);
+    }
+    for (auto& [name, database] : databases_) {
+      database->StartAs(shape_.spec.databases.front().database);
+    }
+  }
+
+  /// Starts a keeper and tells its number.
+  int AddKeeper() {
+    const int number = static_cast<int>(hosts_.size());
+    hosts_.push_back(std::make_unique<KeeperHost>(
+        number, &queue_, &databases_, shape_.network, random_(),
+        [this](uint64_t tag, const core::StatementAnswer& answer) {
+          OnAnswer(tag, answer);
+        }));
+    hosts_.back()->Begin(std::make_unique<core::group::Keeper>(
+        shape_.spec, shape_.workspaces, "instance" + std::to_string(number),
+        "b", shape_.timing, random_()));
+    return number;
+  }
+
+  /// Sends a request through a keeper; `then` is called with the answer.
+  uint64_t Send(int keeper, core::StatementRequest request, Then then = {}) {
+    const uint64_t tag = next_tag_++;
+    Asked& asked = asked_[tag];
+    asked.request = request;
+    asked.at = queue_.now();
+    asked.keeper = keeper;
+    then_[tag] = std::move(then);
+    hosts_[keeper]->Feed(core::group::RequestArrived{tag, request});
+    return tag;
+  }
+  uint64_t Settle(int keeper, const std::string& id, milliseconds within) {
+    const uint64_t tag = next_tag_++;
+    Asked& asked = asked_[tag];
+    asked.request.request_id = id;
+    asked.request.kind = core::StatementKind::kWrite;
+    asked.request.sql = id;
+    asked.request.deadline = queue_.now() + within;
+    asked.at = queue_.now();
+    asked.keeper = keeper;
+    core::SettleRequest settle{id, "passports", "gate", asked.request.deadline};
+    hosts_[keeper]->Feed(core::group::SettleArrived{tag, settle});
+    return tag;
+  }
+
+  core::StatementRequest Write(milliseconds within, bool repeatable = false) {
+    core::StatementRequest request;
+    request.request_id = "w" + std::to_string(next_id_++);
+    request.group = "passports";
+    request.workspace = "gate";
+    request.kind = core::StatementKind::kWrite;
+    request.repeatable = repeatable;
+    request.sql = request.request_id;
+    request.deadline = queue_.now() + within;
+    return request;
+  }
+  /// Asks whether `value` is there.
+  core::StatementRequest Read(const std::string& value, milliseconds within,
+                              core::LogPosition seen, milliseconds max_age) {
+    core::StatementRequest request = Write(within);
+    request.request_id = "r" + request.request_id;
+    request.kind = core::StatementKind::kRead;
+    request.sql = value;
+    request.seen = seen;
+    request.max_age = max_age;
+    return request;
+  }
+
+  void Kill(const std::string& name) {
+    databases_[name]->Kill();
+    for (const auto& host : hosts_) host->DatabaseDied(name);
+  }
+  void Policy(const std::string& leaving) {
+    for (auto& spec : shape_.spec.databases) {
+      spec.leaving = spec.database == leaving;
+    }
+    for (const auto& host : hosts_) {
+      host->Feed(core::group::PolicyChanged{shape_.spec, shape_.workspaces});
+    }
+  }
+
+  FakeDatabase& operator[](const std::string& name) {
+    return *databases_.at(name);
+  }
+  KeeperHost& keeper(int number) { return *hosts_.at(number); }
+  size_t keepers() const { return hosts_.size(); }
+  EventQueue& time() { return queue_; }
+  const std::map<uint64_t, Asked>& asked() const { return asked_; }
+  const Asked& asked(uint64_t tag) const { return asked_.at(tag); }
+  std::mt19937_64& random() { return random_; }
+  GroupShape& shape() { return shape_; }
+  std::map<std::string, std::unique_ptr<FakeDatabase>>& databases() {
+    return databases_;
+  }
+
+  /// The primary of the highest term, null when there is none.
+  FakeDatabase* primary() {
+    FakeDatabase* best = nullptr;
+    for (auto& [name, database] : databases_) {
+      if (!database->is_primary() || database->dead) continue;
+      if (best == nullptr || database->adopted_term() > best->adopted_term()) {
+        best = database.get();
+      }
+    }
+    return best;
+  }
+
+  /// Ends all faults, lets the group come to rest, and returns what is wrong.
+  std::vector<std::string> HealAndCheck() {
+    Heal();
+    queue_.RunFor(std::chrono::seconds(20));
+    return Check();
+  }
+
+  void Heal() {
+    for (auto& [name, database] : databases_) {
+      if (database->frozen) database->Thaw();
+      if (database->dead) database->Revive();
+      database->peers_cut = false;
+      database->stall = Duration{0};
+      database->shape().lag = Duration{0};
+    }
+    bool alive = false;
+    for (const auto& host : hosts_) {
+      host->cut.clear();
+      host->extra_delay.clear();
+      host->network().lose_answer = 0;
+      host->network().delay_answer = 0;
+      if (host->frozen()) host->Thaw();
+      alive = alive || (host->alive() && !host->idle());
+    }
+    if (!alive) AddKeeper();
+  }
+
+  std::vector<std::string> Check() {
+    std::vector<std::string> wrong;
+    FakeDatabase* final = primary();
+    if (final == nullptr) return {"the group has no primary in the end"};
+    for (auto& [name, database] : databases_) {
+      if (database->log().last() != final->log().last()) {
+        wrong.push_back("log of " + name + " differs in the end");
+      }
+    }
+    for (const auto& [tag, asked] : asked_) CheckOne(*final, asked, &wrong);
+    for (std::string& text : late_) wrong.push_back(std::move(text));
+    return wrong;
+  }
+
+ private:
+  void CheckOne(const FakeDatabase& final, const Asked& asked,
+                std::vector<std::string>* wrong) {
+    const core::StatementRequest& request = asked.request;
+    const std::string& id = request.request_id;
+    const bool gone = !hosts_[asked.keeper]->alive();
+    if (asked.answers > 1) wrong->push_back(id + " was answered twice");
+    if (!asked.answer) {
+      if (!gone) wrong->push_back(id + " was never answered");
+      return;
+    }
+    const core::StatementAnswer& answer = *asked.answer;
+    const bool write = request.kind == core::StatementKind::kWrite &&
+                       request.step == core::Step::kStatement &&
+                       request.transaction.empty();
+    const bool commit = request.step == core::Step::kCommit;
+    const int count = final.log().CountOf(request.sql);
+    if (write && count > 1) wrong->push_back(id + " is there twice");
+    if (!write && !commit) return;
+    if (answer.kind() == core::OutcomeKind::kDone && count != 1) {
+      wrong->push_back(id + " was told done and is there " +
+                       std::to_string(count) + " times");
+    }
+    if (answer.kind() == core::OutcomeKind::kNotRun && count != 0) {
+      wrong->push_back(id + " was told not run and is there");
+    }
+  }
+
+  void OnAnswer(uint64_t tag, const core::StatementAnswer& answer) {
+    Asked& asked = asked_.at(tag);
+    ++asked.answers;
+    asked.answer = answer;
+    asked.answered_at = queue_.now();
+    const std::string& id = asked.request.request_id;
+    if (queue_.now() > asked.request.deadline && !hosts_.empty() &&
+        !thawed_.contains(asked.keeper)) {
+      late_.push_back(id + " was answered after its deadline");
+    }
+    if (answer.kind() == core::OutcomeKind::kDone &&
+        !answer.result_json().starts_with(id)) {
+      late_.push_back(id + " got the answer " + answer.result_json());
+    }
+    const auto then = then_.find(tag);
+    if (then == then_.end()) return;
+    const Then run = std::move(then->second);
+    then_.erase(then);
+    if (run) run(answer);
+  }
+
+ public:
+  /// Keepers that were frozen cannot answer in time meanwhile.
+  void FreezeKeeper(int number) {
+    hosts_[number]->Freeze();
+    thawed_.insert(number);
+  }
+
+ private:
+  GroupShape shape_;
+  std::mt19937_64 random_;
+  EventQueue queue_;
+  std::map<std::string, std::unique_ptr<FakeDatabase>> databases_;
+  std::vector<std::unique_ptr<KeeperHost>> hosts_;
+  std::map<uint64_t, Asked> asked_;
+  std::map<uint64_t, Then> then_;
+  std::set<int> thawed_;
+  std::vector<std::string> late_;
+  uint64_t next_tag_ = 1;
+  uint64_t next_id_ = 1;
+};
+
+}  // namespace ryefold::test
