--- a/src/include/ryefold/core/membership/duties.h
+++ b/src/include/ryefold/core/membership/duties.h
@@ -72,8 +72,11 @@
   uint32_t misses = 2;
   /// How long a group is kept because entries ask for it here.
   std::chrono::milliseconds asked_for{10000};
-  /// How many in rank may keep a group because entries ask.
+  /// How many in rank keep a group at once because entries ask. One further
+  /// down first looks whether those before it answer.
   size_t asked_ranks = 3;
+  /// How many in rank take part in a group at all.
+  size_t ranks = 8;
 };
 
 /// State machine of one instance, for all groups. Owned by the task that owns
--- a/src/include/ryefold/core/membership/roster.h
+++ b/src/include/ryefold/core/membership/roster.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "ryefold/core/membership/instance.h"
@@ -40,14 +41,20 @@
 
   /// Names of the instances that may keep `group`, the intended keeper first:
   /// by xxhash64 of group and instance, so that a lost instance moves only
-  /// its own groups; leaving ones after live ones, suspected ones last. Only
+  /// its own groups; leaving ones after live ones, suspected ones last. The
+  /// first sixteen are given, more only if all of these are suspected. Only
   /// instances in the region that holds most of the group's databases count,
   /// as long as the list names one that is live there: a region that is cut
   /// off from the databases must not propose terms for them.
+  ///
+  /// The first two may stand in one failure domain. An order that spreads
+  /// them could not keep the rest in place when the first one goes, so each
+  /// loss would move a group twice.
   std::vector<std::string> Ranked(TimePoint now,
                                   const std::string& group) const;
-  /// The same order as if nobody were suspected.
-  std::vector<std::string> Intended(const std::string& group) const;
+  /// The same order as if nobody were suspected, without a copy; valid until
+  /// the next `SetMembers`.
+  const std::vector<std::string>& Intended(const std::string& group) const;
 
   /// Nothing when the name is not listed.
   const Member* Find(const std::string& name) const;
@@ -62,13 +69,23 @@
     std::chrono::milliseconds length{0};
   };
 
+  /// An instance with the hash of its name, worked out once.
+  struct Candidate {
+    const Member* member = nullptr;
+    uint64_t hash = 0;
+  };
+
   std::string RegionOf(const std::string& group) const;
-  std::vector<const Member*> Candidates(const std::string& group) const;
+  std::vector<std::string> Sorted(const std::string& group, size_t most) const;
 
   RosterTiming timing_;
   std::map<std::string, Member> members_;
+  std::vector<Candidate> instances_;
   std::map<std::string, std::vector<std::string>> databases_;
   std::map<std::string, Suspicion> suspicions_;
+  /// Orders worked out since the last `SetMembers`. Entries ask for one with
+  /// each request; hashing the fleet each time would cost a core.
+  mutable std::unordered_map<std::string, std::vector<std::string>> orders_;
 };
 
 }  // namespace ryefold::core::membership
--- /dev/null
+++ b/src/libcore/membership/roster.cc
@@ -0,0 +1,155 @@
+#include "ryefold/core/membership/roster.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace ryefold::core::membership {
+namespace {
+
+/// Instances kept in a worked-out order.
+constexpr size_t kRanks = 16;
+
+uint64_t HashOf(const std::string& name) {
+  return XXH64(name.data(), name.size(), 0);
+}
+
+uint64_t Score(uint64_t group, uint64_t instance) {
+  const std::array<uint64_t, 2> both = {group, instance};
+  return XXH64(both.data(), sizeof(both), 0);
+}
+
+}  // namespace
+
+Roster::Roster(RosterTiming timing) : timing_(timing) {}
+
+void Roster::SetMembers(const std::vector<Member>& members) {
+  members_.clear();
+  instances_.clear();
+  databases_.clear();
+  orders_.clear();
+  for (const Member& member : members) members_[member.name] = member;
+  for (const auto& [name, member] : members_) {
+    if (member.kind == MemberKind::kInstance) {
+      instances_.push_back({&member, HashOf(name)});
+    } else {
+      databases_[member.group].push_back(name);
+    }
+  }
+  std::erase_if(suspicions_, [this](const auto& entry) {
+    return !members_.contains(entry.first);
+  });
+}
+
+void Roster::Suspect(TimePoint now, const std::string& instance) {
+  Suspicion& suspicion = suspicions_[instance];
+  suspicion.length = std::clamp(suspicion.length * 2, timing_.suspicion,
+                                timing_.suspicion_max);
+  suspicion.until = now + suspicion.length;
+}
+
+void Roster::Trust(const std::string& instance) { suspicions_.erase(instance); }
+
+bool Roster::Suspected(TimePoint now, const std::string& instance) const {
+  const auto found = suspicions_.find(instance);
+  return found != suspicions_.end() && found->second.until > now;
+}
+
+std::string Roster::RegionOf(const std::string& group) const {
+  const auto found = databases_.find(group);
+  if (found == databases_.end()) return {};
+  std::map<std::string, size_t> counts;
+  for (const std::string& name : found->second) {
+    ++counts[members_.at(name).region];
+  }
+  // Of equal regions the first by name, so that all instances agree.
+  const auto most = std::max_element(
+      counts.begin(), counts.end(),
+      [](const auto& a, const auto& b) { return a.second < b.second; });
+  const std::string& region = most->first;
+  const bool staffed = std::any_of(
+      instances_.begin(), instances_.end(), [&](const Candidate& candidate) {
+        return candidate.member->region == region &&
+               candidate.member->state == MemberState::kLive;
+      });
+  return staffed ? region : std::string();
+}
+
+std::vector<std::string> Roster::Sorted(const std::string& group,
+                                        size_t most) const {
+  struct Scored {
+    bool live = false;
+    uint64_t score = 0;
+    const Member* member = nullptr;
+  };
+  const std::string region = RegionOf(group);
+  const uint64_t hash = HashOf(group);
+  std::vector<Scored> scored;
+  scored.reserve(instances_.size());
+  for (const Candidate& candidate : instances_) {
+    const Member& member = *candidate.member;
+    if (!region.empty() && member.region != region) continue;
+    scored.push_back({member.state == MemberState::kLive,
+                      Score(hash, candidate.hash), &member});
+  }
+  const size_t count = std::min(most, scored.size());
+  std::partial_sort(scored.begin(),
+                    scored.begin() + static_cast<ptrdiff_t>(count),
+                    scored.end(), [](const Scored& a, const Scored& b) {
+                      if (a.live != b.live) return a.live;
+                      if (a.score != b.score) return a.score > b.score;
+                      return a.member->name < b.member->name;
+                    });
+  std::vector<std::string> names;
+  names.reserve(count);
+  for (size_t i = 0; i < count; ++i) names.push_back(scored[i].member->name);
+  return names;
+}
+
+const std::vector<std::string>& Roster::Intended(
+    const std::string& group) const {
+  const auto found = orders_.find(group);
+  if (found != orders_.end()) return found->second;
+  return orders_.emplace(group, Sorted(group, kRanks)).first->second;
+}
+
+std::vector<std::string> Roster::Ranked(TimePoint now,
+                                        const std::string& group) const {
+  std::vector<std::string> names = Intended(group);
+  if (suspicions_.empty()) return names;
+  const auto trusted = [&](const std::string& name) {
+    return !Suspected(now, name);
+  };
+  if (std::none_of(names.begin(), names.end(), trusted)) {
+    names = Sorted(group, instances_.size());
+  }
+  std::stable_partition(names.begin(), names.end(), trusted);
+  return names;
+}
+
+const Member* Roster::Find(const std::string& name) const {
+  const auto found = members_.find(name);
+  return found == members_.end() ? nullptr : &found->second;
+}
+
+std::vector<Member> Roster::DatabasesOf(const std::string& group) const {
+  std::vector<Member> all;
+  const auto found = databases_.find(group);
+  if (found == databases_.end()) return all;
+  for (const std::string& name : found->second) {
+    all.push_back(members_.at(name));
+  }
+  return all;
+}
+
+std::vector<Member> Roster::instances() const {
+  std::vector<Member> all;
+  for (const Candidate& candidate : instances_) {
+    all.push_back(*candidate.member);
+  }
+  return all;
+}
+
+}  // namespace ryefold::core::membership
