Carry calls between instances on nghttp2 streams

Not sent is told only for a call that was never written whole, was refused, or is numbered beyond a GOAWAY.

--- a/src/include/ryefold/wire/peer.h
+++ b/src/include/ryefold/wire/peer.h
@@ -14,6 +14,9 @@
 
 namespace ryefold::wire {
 
+class PeerServerLink;
+class PeerClientLink;
+
 /// One call from a peer being answered. Copyable handle; the first `Reply`
 /// counts, later ones and ones to a lost peer do nothing.
 class PeerCall {
@@ -48,10 +51,13 @@
   uint16_t port() const;
   /// Accepts nothing new and sends GOAWAY; streams in progress go on.
   void StopAccepting();
+  /// Calls not yet answered, and connections with answers not yet written.
   size_t in_progress() const;
+  size_t connections() const;
 
- private:
   class Impl;
+
+ private:
   std::unique_ptr<Impl> impl_;
 };
 
@@ -84,9 +90,11 @@
   uint64_t bytes_sent() const;
   uint64_t bytes_received() const;
 
- private:
   class Impl;
-  std::unique_ptr<Impl> impl_;
+
+ private:
+  /// Shared with callbacks, in which the client may be destroyed.
+  std::shared_ptr<Impl> impl_;
 };
 
 }  // namespace ryefold::wire
--- a/src/libwire/net.cc
+++ b/src/libwire/net.cc
@@ -17,36 +17,24 @@
 
 }  // namespace
 
-namespace {
-
-/// An endpoint as the socket calls want it; `size` is 0 when it is none.
-struct SocketAddress {
-  sockaddr_storage storage{};
-  socklen_t size = 0;
-
-  sockaddr* any() { return reinterpret_cast<sockaddr*>(&storage); }
-};
-
-SocketAddress ToSocketAddress(const Endpoint& endpoint) {
+SocketAddress ToSocketAddress(const std::string& ip, uint16_t port) {
   SocketAddress address;
   auto* v4 = reinterpret_cast<sockaddr_in*>(&address.storage);
-  if (inet_pton(AF_INET, endpoint.ip.c_str(), &v4->sin_addr) == 1) {
+  if (inet_pton(AF_INET, ip.c_str(), &v4->sin_addr) == 1) {
     v4->sin_family = AF_INET;
-    v4->sin_port = htons(endpoint.port);
+    v4->sin_port = htons(port);
     address.size = sizeof(*v4);
     return address;
   }
   auto* v6 = reinterpret_cast<sockaddr_in6*>(&address.storage);
-  if (inet_pton(AF_INET6, endpoint.ip.c_str(), &v6->sin6_addr) == 1) {
+  if (inet_pton(AF_INET6, ip.c_str(), &v6->sin6_addr) == 1) {
     v6->sin6_family = AF_INET6;
-    v6->sin6_port = htons(endpoint.port);
+    v6->sin6_port = htons(port);
     address.size = sizeof(*v6);
   }
   return address;
 }
 
-}  // namespace
-
 Endpoint ParseEndpoint(const std::string& address) {
   Endpoint endpoint;
   const size_t colon = address.rfind(':');
@@ -59,7 +47,7 @@
   const auto [rest, error] =
       std::from_chars(address.data() + colon + 1, end, endpoint.port);
   endpoint.ok = error == std::errc() && rest == end &&
-                ToSocketAddress(endpoint).size != 0;
+                ToSocketAddress(endpoint.ip, endpoint.port).size != 0;
   return endpoint;
 }
 
@@ -82,7 +70,7 @@
     *error = "not an ip:port: " + address;
     return nullptr;
   }
-  SocketAddress bound = ToSocketAddress(endpoint);
+  SocketAddress bound = ToSocketAddress(endpoint.ip, endpoint.port);
   const unsigned options =
       LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC;
   evconnlistener* listener =
--- a/src/libwire/net.h
+++ b/src/libwire/net.h
@@ -22,6 +22,15 @@
 };
 Endpoint ParseEndpoint(const std::string& address);
 
+/// An endpoint as the socket calls want it; `size` is 0 when it is none.
+struct SocketAddress {
+  sockaddr_storage storage{};
+  socklen_t size = 0;
+
+  sockaddr* any() { return reinterpret_cast<sockaddr*>(&storage); }
+};
+SocketAddress ToSocketAddress(const std::string& ip, uint16_t port);
+
 /// Sends small segments at once. Without it, an answer written in two parts
 /// waits for the other side's delayed acknowledgement, 40 ms as a rule.
 void SetNoDelay(evutil_socket_t fd);
--- /dev/null
+++ b/src/libwire/peer_client.cc
@@ -0,0 +1,383 @@
+#include <event2/event.h>
+
+#include <algorithm>
+#include <array>
+#include <memory>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "http2_link.h"
+#include "net.h"
+#include "ryefold/wire/peer.h"
+
+namespace ryefold::wire {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+using std::chrono::milliseconds;
+
+constexpr size_t kMaxAnswer = size_t{64} << 20;
+/// A connection that does not stand after this long is given up.
+constexpr milliseconds kConnectTimeout{2000};
+/// Calls made this soon after a failed attempt fail at once: a dead peer is to
+/// cost one attempt for many calls, not one for each.
+constexpr milliseconds kFirstBackoff{20};
+constexpr milliseconds kLongestBackoff{500};
+
+}  // namespace
+
+/// One call. Its body is read by nghttp2 until the stream is closed, so it is
+/// kept until then, also when its caller has been answered.
+struct OutgoingCall {
+  uint64_t id = 0;
+  std::string path;
+  OutgoingBody body;
+  core::TimePoint deadline;
+  PeerClientLink* link = nullptr;
+  int32_t stream = 0;
+  /// Written whole. The peer acts on nothing less.
+  bool sent = false;
+  /// The answer has arrived whole.
+  bool ended = false;
+  /// Taken by the caller, or no longer wanted.
+  bool settled = false;
+  std::string answer;
+};
+
+class PeerClientLink : public Http2Link {
+ public:
+  PeerClientLink(event_base* base, PeerClient::Impl* client)
+      : Http2Link(base, Side::kClient), client_(client) {}
+
+  void Submit(std::unique_ptr<OutgoingCall> call);
+  void Reset(OutgoingCall* call);
+  bool up() const { return stands_; }
+  bool idle() const { return calls_.empty(); }
+
+ private:
+  void OnDown() override;
+  void OnUp() override { stands_ = true; }
+  void OnSettings() override;
+  void OnGoaway() override;
+  void OnData(int32_t stream, std::string_view data) override;
+  void OnEnd(int32_t stream) override;
+  void OnClosed(int32_t stream, uint32_t error) override;
+  void OnSentWhole(int32_t stream) override;
+  void OnNotSent(int32_t stream) override;
+
+  OutgoingCall* Find(int32_t stream);
+  void Remove(int32_t stream);
+
+  PeerClient::Impl* client_;
+  bool stands_ = false;
+  std::unordered_map<int32_t, std::unique_ptr<OutgoingCall>> calls_;
+};
+
+class PeerClient::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(event_base* base, const std::string& address)
+      : base_(base), endpoint_(ParseEndpoint(address)) {
+    deliver_ = event_new(base, -1, 0, OnDeliver, this);
+    timer_ = evtimer_new(base, OnTimer, this);
+  }
+
+  ~Impl() { Close(); }
+
+  /// No callback comes after this.
+  void Close() {
+    if (deliver_ == nullptr) return;
+    event_free(std::exchange(deliver_, nullptr));
+    event_free(std::exchange(timer_, nullptr));
+    current_.reset();
+    draining_.clear();
+    ended_.clear();
+    results_.clear();
+  }
+
+  uint64_t Call(const std::string& path, std::string body,
+                core::TimePoint deadline, Done done) {
+    const uint64_t id = ++last_id_;
+    dones_[id] = std::move(done);
+    if (!EnsureLink()) {
+      Finish(id, {CallStatus::kNotSent, {}});
+      return id;
+    }
+    auto call = std::make_unique<OutgoingCall>();
+    call->id = id;
+    call->path = path;
+    call->body.text = std::move(body);
+    call->deadline = deadline;
+    calls_[id] = call.get();
+    deadlines_.emplace(deadline, id);
+    Arm(deadline);
+    current_->Submit(std::move(call));
+    return id;
+  }
+
+  void Cancel(uint64_t id) {
+    dones_.erase(id);
+    const auto found = calls_.find(id);
+    if (found != calls_.end()) GiveUp(found->second);
+  }
+
+  uint64_t bytes_sent() const {
+    return Sum(&Http2Link::bytes_sent) + ended_sent_;
+  }
+  uint64_t bytes_received() const {
+    return Sum(&Http2Link::bytes_received) + ended_received_;
+  }
+
+  // ---- told by links, from within nghttp2 ----
+
+  /// The call has its result.
+  void Settle(OutgoingCall* call, CallStatus status) {
+    if (call->settled) return;
+    Forget(call);
+    PeerResult result{status, {}};
+    if (status == CallStatus::kOk) result.body = std::move(call->answer);
+    Finish(call->id, std::move(result));
+  }
+
+  void Alive() { backoff_ = kFirstBackoff; }
+
+  /// Takes no more calls; those open go on.
+  void Drain(PeerClientLink* link) {
+    if (current_.get() != link) return;
+    draining_.push_back(std::move(current_));
+    if (link->idle()) Ended(link);
+  }
+
+  void Drained(PeerClientLink* link) {
+    if (current_.get() != link && link->idle()) Ended(link);
+  }
+
+  void Lost(PeerClientLink* link) {
+    if (!link->up()) BackOff();
+    Ended(link);
+  }
+
+ private:
+  static void OnDeliver(evutil_socket_t, int16_t, void* arg) {
+    static_cast<Impl*>(arg)->Deliver();
+  }
+  static void OnTimer(evutil_socket_t, int16_t, void* arg) {
+    static_cast<Impl*>(arg)->Expire();
+  }
+
+  bool EnsureLink() {
+    if (current_ != nullptr) return true;
+    if (!endpoint_.ok || Clock::now() < retry_at_) return false;
+    current_ = std::make_unique<PeerClientLink>(base_, this);
+    if (!current_->Connect(endpoint_.ip, endpoint_.port)) {
+      // Unless the socket's own event has ended it already.
+      if (current_ != nullptr) Lost(current_.get());
+      return false;
+    }
+    connect_by_ = Clock::now() + kConnectTimeout;
+    Arm(connect_by_);
+    return true;
+  }
+
+  void BackOff() {
+    retry_at_ = Clock::now() + backoff_;
+    backoff_ = std::min(backoff_ * 2, kLongestBackoff);
+  }
+
+  /// Results reach callers from an event of their own, never from within
+  /// `Call` or nghttp2.
+  void Finish(uint64_t id, PeerResult result) {
+    results_.emplace_back(id, std::move(result));
+    event_active(deliver_, 0, 0);
+  }
+
+  void Deliver() {
+    const auto self = shared_from_this();
+    for (const auto& link : ended_) {
+      ended_sent_ += link->bytes_sent();
+      ended_received_ += link->bytes_received();
+    }
+    ended_.clear();
+    std::vector<std::pair<uint64_t, PeerResult>> results;
+    results.swap(results_);
+    for (const auto& [id, result] : results) {
+      auto done = dones_.extract(id);
+      if (!done.empty()) done.mapped()(result);
+      if (deliver_ == nullptr) return;  // closed by the callback
+    }
+  }
+
+  void Forget(OutgoingCall* call) {
+    call->settled = true;
+    calls_.erase(call->id);
+    deadlines_.erase({call->deadline, call->id});
+  }
+
+  void GiveUp(OutgoingCall* call) {
+    Forget(call);
+    call->link->Reset(call);
+  }
+
+  void Ended(PeerClientLink* link) {
+    if (current_.get() == link) {
+      ended_.push_back(std::move(current_));
+    } else {
+      const auto found = std::find_if(
+          draining_.begin(), draining_.end(),
+          [link](const auto& draining) { return draining.get() == link; });
+      if (found == draining_.end()) return;
+      ended_.push_back(std::move(*found));
+      draining_.erase(found);
+    }
+    event_active(deliver_, 0, 0);
+  }
+
+  /// Sets the timer for `when` unless it is due sooner. It is left alone when
+  /// calls end, and looks at what is due when it fires.
+  void Arm(core::TimePoint when) {
+    if (armed_ && armed_for_ <= when) return;
+    armed_ = true;
+    armed_for_ = when;
+    const timeval wait = ToTimeval(
+        std::chrono::ceil<std::chrono::microseconds>(when - Clock::now()));
+    event_add(timer_, &wait);
+  }
+
+  void Expire() {
+    armed_ = false;
+    const core::TimePoint now = Clock::now();
+    while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
+      OutgoingCall* call = calls_.at(deadlines_.begin()->second);
+      const CallStatus status =
+          call->sent ? CallStatus::kLost : CallStatus::kNotSent;
+      Finish(call->id, {status, {}});
+      GiveUp(call);
+    }
+    const bool connecting = current_ != nullptr && !current_->up();
+    if (connecting && connect_by_ <= now) current_->Fail();
+    if (current_ != nullptr && !current_->up()) Arm(connect_by_);
+    if (!deadlines_.empty()) Arm(deadlines_.begin()->first);
+  }
+
+  uint64_t Sum(uint64_t (Http2Link::*count)() const) const {
+    uint64_t sum = current_ == nullptr ? 0 : (current_.get()->*count)();
+    for (const auto& link : draining_) sum += (link.get()->*count)();
+    return sum;
+  }
+
+  event_base* base_;
+  const Endpoint endpoint_;
+  event* deliver_ = nullptr;
+  event* timer_ = nullptr;
+  bool armed_ = false;
+  core::TimePoint armed_for_;
+  core::TimePoint connect_by_;
+  core::TimePoint retry_at_;
+  milliseconds backoff_ = kFirstBackoff;
+  uint64_t last_id_ = 0;
+  uint64_t ended_sent_ = 0;
+  uint64_t ended_received_ = 0;
+  std::unordered_map<uint64_t, Done> dones_;
+  std::unordered_map<uint64_t, OutgoingCall*> calls_;
+  std::set<std::pair<core::TimePoint, uint64_t>> deadlines_;
+  std::vector<std::pair<uint64_t, PeerResult>> results_;
+  std::unique_ptr<PeerClientLink> current_;
+  std::vector<std::unique_ptr<PeerClientLink>> draining_;
+  std::vector<std::unique_ptr<PeerClientLink>> ended_;
+};
+
+void PeerClientLink::Submit(std::unique_ptr<OutgoingCall> call) {
+  const std::array<nghttp2_nv, 4> headers = {
+      StaticHeader(":method", "POST"), StaticHeader(":scheme", "http"),
+      StaticHeader(":authority", "peer"), StaticHeader(":path", call->path)};
+  const nghttp2_data_provider provider = call->body.provider();
+  const int32_t stream = nghttp2_submit_request(
+      session(), nullptr, headers.data(), headers.size(), &provider, nullptr);
+  call->link = this;
+  call->stream = stream;
+  if (stream < 0) {  // out of stream numbers or memory
+    client_->Settle(call.get(), CallStatus::kNotSent);
+    client_->Drain(this);
+    return;
+  }
+  calls_[stream] = std::move(call);
+  FlushSoon();
+}
+
+void PeerClientLink::Reset(OutgoingCall* call) {
+  nghttp2_submit_rst_stream(session(), NGHTTP2_FLAG_NONE, call->stream,
+                            NGHTTP2_CANCEL);
+  FlushSoon();
+}
+
+void PeerClientLink::OnDown() {
+  for (auto& [stream, call] : calls_) {
+    client_->Settle(call.get(),
+                    call->sent ? CallStatus::kLost : CallStatus::kNotSent);
+  }
+  client_->Lost(this);
+}
+
+void PeerClientLink::OnSettings() { client_->Alive(); }
+
+void PeerClientLink::OnGoaway() { client_->Drain(this); }
+
+void PeerClientLink::OnData(int32_t stream, std::string_view data) {
+  OutgoingCall* call = Find(stream);
+  if (call == nullptr || call->settled) return;
+  if (call->answer.size() + data.size() > kMaxAnswer) {
+    client_->Settle(call, CallStatus::kLost);
+    return Reset(call);
+  }
+  call->answer += data;
+}
+
+void PeerClientLink::OnEnd(int32_t stream) {
+  if (OutgoingCall* call = Find(stream)) call->ended = true;
+}
+
+void PeerClientLink::OnClosed(int32_t stream, uint32_t error) {
+  OutgoingCall* call = Find(stream);
+  if (call == nullptr) return;
+  CallStatus status = CallStatus::kLost;
+  if (call->ended && error == NGHTTP2_NO_ERROR) status = CallStatus::kOk;
+  if (error == NGHTTP2_REFUSED_STREAM) status = CallStatus::kNotSent;
+  client_->Settle(call, status);
+  Remove(stream);
+}
+
+void PeerClientLink::OnSentWhole(int32_t stream) {
+  if (OutgoingCall* call = Find(stream)) call->sent = true;
+}
+
+void PeerClientLink::OnNotSent(int32_t stream) {
+  OutgoingCall* call = Find(stream);
+  if (call == nullptr) return;
+  client_->Settle(call, CallStatus::kNotSent);
+  Remove(stream);
+}
+
+OutgoingCall* PeerClientLink::Find(int32_t stream) {
+  const auto found = calls_.find(stream);
+  return found == calls_.end() ? nullptr : found->second.get();
+}
+
+void PeerClientLink::Remove(int32_t stream) {
+  calls_.erase(stream);
+  client_->Drained(this);
+}
+
+PeerClient::PeerClient(event_base* base, std::string address)
+    : impl_(std::make_shared<Impl>(base, address)) {}
+PeerClient::~PeerClient() { impl_->Close(); }
+
+uint64_t PeerClient::Call(const std::string& path, std::string body,
+                          core::TimePoint deadline, Done done) {
+  return impl_->Call(path, std::move(body), deadline, std::move(done));
+}
+void PeerClient::Cancel(uint64_t call) { impl_->Cancel(call); }
+uint64_t PeerClient::bytes_sent() const { return impl_->bytes_sent(); }
+uint64_t PeerClient::bytes_received() const { return impl_->bytes_received(); }
+
+}  // namespace ryefold::wire
