Admission queue, connection shares, retry budget

Steps of open transactions first, then strict classes, deficit round robin by weight within a class. The drain rate is measured only while work waits. A class is judged by that rate less what higher classes take of it; a ticket whose wait would use more than three quarters of its time left is refused on arrival. A full queue refuses the newest ticket of the lowest class's heaviest workspace.

--- /dev/null
+++ b/src/libcore/admission/queue_estimate.cc
@@ -0,0 +1,123 @@
+// How long tickets have to wait, and which of them are given up for it.
+
+#include <algorithm>
+
+#include "queue_impl.h"
+
+namespace ryefold::core::admission {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Part of the time left that may pass in the queue; the rest is for running.
+/// Without it an overloaded group would serve every ticket just as its
+/// deadline passes, and its callers would get no answer from all that work.
+constexpr double kQueuePart = 0.75;
+/// Least part of the drain rate that a class is taken to get.
+constexpr double kLeastPart = 0.02;
+
+double SecondsUntil(TimePoint now, TimePoint then) {
+  return std::chrono::duration<double>(then - now).count();
+}
+
+}  // namespace
+
+Queue::Impl::Policy Queue::Impl::PolicyOf(const std::string& workspace) const {
+  const auto found = policies_.find(workspace);
+  return found == policies_.end() ? Policy() : found->second;
+}
+
+Queue::Impl::Standing Queue::Impl::StandingOf(
+    const std::string& workspace) const {
+  const auto found = lines_.find(workspace);
+  if (found != lines_.end()) {
+    const Line& line = found->second;
+    return Standing{line.priority, line.weight, line.tickets.size()};
+  }
+  const Policy policy = PolicyOf(workspace);
+  return Standing{policy.priority, policy.weight, 0};
+}
+
+double Queue::Impl::AheadOfClass(uint32_t priority) const {
+  double ahead = static_cast<double>(transactions_);
+  for (const auto& [other, members] : classes_) {
+    if (other >= priority) break;
+    ahead += static_cast<double>(members.size());
+  }
+  return ahead;
+}
+
+double Queue::Impl::Ahead(const Standing& standing) const {
+  const PriorityClass& members = classes_.at(standing.priority);
+  return AheadOfClass(standing.priority) + members.Ahead(standing.weight,
+                                                         standing.waiting + 1,
+                                                         standing.waiting > 0);
+}
+
+/// What a class gets served a second: the drain rate less what higher classes
+/// take of it. By the whole rate a low class would be told that it is nearly
+/// its turn for as long as the higher ones keep coming.
+std::optional<double> Queue::Impl::Rate(TimePoint now,
+                                        uint32_t priority) const {
+  DrainRate drain = drain_;
+  drain.Advance(now, size() > 0);
+  const std::optional<double> whole = drain.per_second();
+  if (!whole.has_value()) return std::nullopt;
+  double left = *whole;
+  for (const auto& [other, members] : classes_) {
+    if (other >= priority) break;
+    left -= members.arrivals.per_second(now);
+  }
+  return std::max(left, *whole * kLeastPart);
+}
+
+double Queue::Impl::WaitSeconds(TimePoint now, const Standing& standing) const {
+  const std::optional<double> rate = Rate(now, standing.priority);
+  return rate.has_value() ? Ahead(standing) / *rate : 0;
+}
+
+milliseconds Queue::Impl::ExpectedWait(TimePoint now,
+                                       const std::string& workspace) const {
+  const double seconds = WaitSeconds(now, StandingOf(workspace));
+  return std::chrono::ceil<milliseconds>(
+      std::chrono::duration<double>(seconds));
+}
+
+/// Why the ticket must be refused whatever room there is.
+std::optional<Reason> Queue::Impl::Judge(TimePoint now,
+                                         const Ticket& ticket) const {
+  if (ticket.deadline <= now) return Reason::kDeadline;
+  if (ticket.in_transaction) return std::nullopt;
+  const double wait = WaitSeconds(now, StandingOf(ticket.workspace));
+  const double left = SecondsUntil(now, ticket.deadline);
+  if (wait > kQueuePart * left) return Reason::kOverloaded;
+  return std::nullopt;
+}
+
+/// Tickets that will not be served in time, in no particular order. Steps of
+/// open transactions are spared: they are next, and giving one up would waste
+/// what its transaction has done.
+std::vector<uint64_t> Queue::Impl::LateTickets(TimePoint now) const {
+  std::vector<uint64_t> late;
+  for (const auto& [priority, members] : classes_) {
+    const std::optional<double> rate = Rate(now, priority);
+    if (!rate.has_value()) break;
+    const double before = AheadOfClass(priority);
+    for (const Line* line : members.lines()) {
+      size_t ordinal = 0;
+      for (const Ticket& ticket : line->tickets) {
+        const double ahead =
+            before + members.Ahead(line->weight, ordinal + 1, true) - 1;
+        const double left = SecondsUntil(now, ticket.deadline);
+        if (ahead / *rate > left) {
+          late.push_back(ticket.tag);
+        } else {
+          ++ordinal;
+        }
+      }
+    }
+  }
+  return late;
+}
+
+}  // namespace ryefold::core::admission
--- /dev/null
+++ b/src/libcore/admission/rates.cc
@@ -0,0 +1,61 @@
+#include "rates.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace ryefold::core::admission {
+namespace {
+
+/// Time over which a measurement fades to a third.
+constexpr double kMemorySeconds = 1.0;
+/// What has to be seen before the drain rate means anything.
+constexpr uint64_t kLeastFinished = 10;
+constexpr double kLeastBusySeconds = 0.5;
+/// Lowest rate told, so that a time worked out from it stays finite.
+constexpr double kLeastRate = 0.1;
+
+double SecondsBetween(TimePoint from, TimePoint to) {
+  return std::chrono::duration<double>(to - from).count();
+}
+
+}  // namespace
+
+void DrainRate::Advance(TimePoint now, bool busy) {
+  const double passed = started_ ? SecondsBetween(at_, now) : 0;
+  at_ = started_ ? std::max(at_, now) : now;
+  started_ = true;
+  if (!busy || passed <= 0) return;
+  const double keep = std::exp(-passed / kMemorySeconds);
+  finished_ *= keep;
+  busy_seconds_ = busy_seconds_ * keep + kMemorySeconds * (1 - keep);
+}
+
+void DrainRate::Finished() {
+  ++total_;
+  finished_ += 1;
+}
+
+std::optional<double> DrainRate::per_second() const {
+  if (total_ < kLeastFinished && busy_seconds_ < kLeastBusySeconds) {
+    return std::nullopt;
+  }
+  if (busy_seconds_ <= 0) return std::nullopt;
+  return std::max(finished_ / busy_seconds_, kLeastRate);
+}
+
+double ArrivalRate::Faded(TimePoint now) const {
+  const double passed = std::max(0.0, SecondsBetween(at_, now));
+  return count_ * std::exp(-passed / kMemorySeconds);
+}
+
+void ArrivalRate::Add(TimePoint now) {
+  count_ = Faded(now) + 1;
+  at_ = now;
+}
+
+double ArrivalRate::per_second(TimePoint now) const {
+  return Faded(now) / kMemorySeconds;
+}
+
+}  // namespace ryefold::core::admission
--- /dev/null
+++ b/testsuite/admission_limits/limits_test.cc
@@ -0,0 +1,112 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+
+#include "ryefold/core/admission/queue.h"
+
+namespace ryefold::core::admission {
+namespace {
+
+WorkspacePolicy Policy(const std::string& name, uint32_t share) {
+  WorkspacePolicy policy;
+  policy.workspace = name;
+  policy.connection_share = share;
+  return policy;
+}
+
+TEST(ConnectionShares, UnusedSharesAreLent) {
+  ConnectionShares shares({Policy("a", 2), Policy("b", 3)}, 5);
+  for (int i = 0; i < 5; ++i) {
+    ASSERT_TRUE(shares.MayTake("a", {"a"})) << i;
+    shares.Take("a");
+  }
+  EXPECT_FALSE(shares.MayTake("a", {"a"}));
+  EXPECT_FALSE(shares.MayTake("b", {"a", "b"}));
+}
+
+// One workspace holds all connections and asks for more as each comes back.
+// Another wants its share: it must get what comes back next.
+TEST(ConnectionShares, WhatIsLentComesBackToItsOwner) {
+  ConnectionShares shares({Policy("a", 2), Policy("b", 3)}, 5);
+  for (int i = 0; i < 5; ++i) shares.Take("a");
+  shares.Release("a");
+  EXPECT_FALSE(shares.MayTake("a", {"a", "b"}));
+  EXPECT_TRUE(shares.MayTake("b", {"a", "b"}));
+  EXPECT_TRUE(shares.MayTake("a", {"a"}));
+}
+
+TEST(ConnectionShares, AWorkspaceWithoutPolicyOnlyBorrows) {
+  ConnectionShares shares({Policy("a", 2)}, 2);
+  EXPECT_TRUE(shares.MayTake("stranger", {"stranger"}));
+  EXPECT_FALSE(shares.MayTake("stranger", {"a", "stranger"}));
+}
+
+// Both ways of asking agree; no more than there is is ever held; whoever wants
+// and is within its share is refused only when nothing is free.
+RC_GTEST_PROP(ConnectionShares, HoldsUnderRandomUse, ()) {
+  constexpr uint32_t kUsable = 6;
+  const std::vector<std::string> names = {"a", "b", "c", "stranger"};
+  ConnectionShares shares({Policy("a", 1), Policy("b", 2), Policy("c", 3)},
+                          kUsable);
+  std::map<std::string, uint32_t> wants;
+  const std::map<std::string, uint32_t> share = {
+      {"a", 1}, {"b", 2}, {"c", 3}, {"stranger", 0}};
+  const int steps = *rc::gen::inRange(1, 100);
+  for (int step = 0; step < steps; ++step) {
+    const std::string name = *rc::gen::elementOf(names);
+    std::vector<std::string> wanted;
+    uint32_t total = 0;
+    for (const std::string& other : names) {
+      if (wants[other] > 0) wanted.push_back(other);
+      total += shares.held(other);
+    }
+    RC_ASSERT(total <= kUsable);
+    switch (*rc::gen::inRange(0, 4)) {
+      case 0:
+        shares.Want(name);
+        ++wants[name];
+        break;
+      case 1:
+        shares.Unwant(name);
+        if (wants[name] > 0) --wants[name];
+        break;
+      case 2:
+        shares.Release(name);
+        break;
+      default:
+        RC_ASSERT(shares.MayTake(name) == shares.MayTake(name, wanted));
+        if (shares.held(name) < share.at(name)) {
+          RC_ASSERT(shares.MayTake(name) == (total < kUsable));
+        }
+        if (shares.MayTake(name)) shares.Take(name);
+    }
+  }
+}
+
+// A group fails for a while and every request to it fails. Retried without
+// limit, each would be sent again and again, and the group would get a
+// multiple of its usual load just when it comes back.
+TEST(RetryBudget, RetriesStayAFractionOfFirstTries) {
+  constexpr double kRatio = 0.2;
+  constexpr double kBurst = 10;
+  RetryBudget budget(kRatio, kBurst);
+  int retries = 0;
+  for (int i = 0; i < 1000; ++i) {
+    budget.FirstTry();
+    while (budget.TakeRetry()) ++retries;
+  }
+  EXPECT_LE(retries, 1000 * kRatio + kBurst);
+  EXPECT_GE(retries, 1000 * kRatio - 1);
+}
+
+TEST(RetryBudget, SavesNoMoreThanTheBurst) {
+  RetryBudget budget(1, 3);
+  for (int i = 0; i < 100; ++i) budget.FirstTry();
+  int retries = 0;
+  while (budget.TakeRetry()) ++retries;
+  EXPECT_EQ(retries, 3);
+}
+
+}  // namespace
+}  // namespace ryefold::core::admission
--- /dev/null
+++ b/testsuite/admission_queue/queue_test.cc
@@ -0,0 +1,341 @@
+#include "ryefold/core/admission/queue.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace ryefold::core::admission {
+namespace {
+
+using std::chrono::milliseconds;
+
+TimePoint At(int64_t ms) { return TimePoint(milliseconds(ms)); }
+
+WorkspacePolicy Policy(const std::string& name, uint32_t priority,
+                       uint32_t weight = 1) {
+  WorkspacePolicy policy;
+  policy.workspace = name;
+  policy.priority = priority;
+  policy.weight = weight;
+  return policy;
+}
+
+Ticket TicketOf(uint64_t tag, const std::string& workspace, int64_t now,
+                int64_t deadline) {
+  Ticket ticket;
+  ticket.tag = tag;
+  ticket.workspace = workspace;
+  ticket.enqueued = At(now);
+  ticket.deadline = At(deadline);
+  return ticket;
+}
+
+bool Always(const Ticket& /*ticket*/) { return true; }
+
+std::vector<WorkspacePolicy> Mixed() {
+  return {Policy("gold", 0, 3), Policy("silver", 1, 1), Policy("silver2", 1, 4),
+          Policy("bronze", 7, 2)};
+}
+
+// Finishes statements at a steady rate while something waits, so that the
+// drain rate is measured.
+int64_t Measure(Queue* queue, int64_t now, int64_t interval_ms) {
+  queue->Push(At(now), TicketOf(1000000, "gold", now, now + 1000000));
+  for (int i = 0; i < 200; ++i) {
+    now += interval_ms;
+    queue->Finished(At(now));
+  }
+  queue->Remove(1000000);
+  return now;
+}
+
+// What the queue is told and what it answers, with a plain model beside it.
+struct Model {
+  std::map<uint64_t, Ticket> waiting;
+
+  void Refused(const std::vector<Refusal>& refused, uint64_t pushed) {
+    for (const Refusal& refusal : refused) {
+      const bool here = waiting.erase(refusal.tag) == 1;
+      RC_ASSERT(here || refusal.tag == pushed);
+      RC_ASSERT(refusal.retry_after > milliseconds(0));
+    }
+  }
+};
+
+uint32_t ClassOf(const std::string& workspace) {
+  for (const WorkspacePolicy& policy : Mixed()) {
+    if (policy.workspace == workspace) return policy.priority;
+  }
+  return 1000;
+}
+
+// Every ticket leaves exactly once: popped, refused or removed. One that left
+// twice would run a statement whose caller was told that it was not run.
+RC_GTEST_PROP(Queue, EveryTicketLeavesOnceAndClassesAreStrict, ()) {
+  constexpr uint32_t kLimit = 6;
+  Queue queue(Mixed(), kLimit, 1);
+  Model model;
+  int64_t now = 1;
+  uint64_t tag = 0;
+  const int steps = *rc::gen::inRange(1, 120);
+  for (int step = 0; step < steps; ++step) {
+    now += *rc::gen::inRange<int64_t>(0, 30);
+    const int kind = *rc::gen::inRange(0, 10);
+    if (kind < 5) {
+      Ticket ticket =
+          TicketOf(++tag,
+                   *rc::gen::element<std::string>("gold", "silver", "silver2",
+                                                  "bronze", "stranger"),
+                   now, now + *rc::gen::inRange<int64_t>(-5, 400));
+      ticket.in_transaction = *rc::gen::inRange(0, 5) == 0;
+      const auto refused = queue.Push(At(now), ticket);
+      model.Refused(refused, tag);
+      const bool taken =
+          std::none_of(refused.begin(), refused.end(),
+                       [&](const Refusal& r) { return r.tag == tag; });
+      if (taken) model.waiting[tag] = ticket;
+    } else if (kind < 8) {
+      const auto popped = queue.Pop(At(now), Always);
+      if (!popped.has_value()) continue;
+      RC_ASSERT(model.waiting.erase(popped->tag) == 1U);
+      RC_ASSERT(popped->deadline > At(now));
+      for (const auto& [other_tag, other] : model.waiting) {
+        if (other.deadline <= At(now)) continue;
+        RC_ASSERT(popped->in_transaction || !other.in_transaction);
+        if (popped->in_transaction != other.in_transaction) continue;
+        RC_ASSERT(ClassOf(popped->workspace) <= ClassOf(other.workspace));
+        RC_ASSERT(popped->workspace != other.workspace ||
+                  popped->tag < other_tag);
+      }
+    } else if (kind == 8) {
+      model.Refused(queue.Expire(At(now)), 0);
+      for (const auto& [other_tag, other] : model.waiting) {
+        RC_ASSERT(other.deadline > At(now));
+      }
+    } else if (*rc::gen::arbitrary<bool>()) {
+      queue.Finished(At(now));
+    } else {
+      const uint64_t some = *rc::gen::inRange<uint64_t>(0, tag + 1);
+      RC_ASSERT(queue.Remove(some) == (model.waiting.erase(some) == 1));
+    }
+    RC_ASSERT(queue.size() == model.waiting.size());
+    RC_ASSERT(queue.size() <= kLimit);
+  }
+}
+
+TEST(Queue, SharesFollowTheWeights) {
+  Queue queue({Policy("a", 1, 100), Policy("b", 1, 200), Policy("c", 1, 500)},
+              10000);
+  std::map<std::string, int> served;
+  uint64_t tag = 0;
+  for (int i = 0; i < 3000; ++i) {
+    for (const char* name : {"a", "b", "c"}) {
+      queue.Push(At(0), TicketOf(++tag, name, 0, 100000));
+    }
+  }
+  for (int i = 0; i < 800; ++i) ++served[queue.Pop(At(1), Always)->workspace];
+  EXPECT_NEAR(served["a"], 100, 5);
+  EXPECT_NEAR(served["b"], 200, 5);
+  EXPECT_NEAR(served["c"], 500, 5);
+}
+
+// A workspace that asks for nothing for a while must not come back with a
+// claim to everything it did not use: the others would be shut out meanwhile.
+TEST(Queue, UnusedTurnsAreNotSavedUp) {
+  Queue queue({Policy("a", 1), Policy("b", 1)}, 10000);
+  uint64_t tag = 0;
+  for (int i = 0; i < 500; ++i) {
+    queue.Push(At(0), TicketOf(++tag, "a", 0, 1000));
+  }
+  for (int i = 0; i < 200; ++i) queue.Pop(At(1), Always);
+  for (int i = 0; i < 200; ++i) {
+    queue.Push(At(2), TicketOf(++tag, "b", 2, 1000));
+  }
+  int b = 0;
+  for (int i = 0; i < 100; ++i) {
+    b += queue.Pop(At(3), Always)->workspace == "b" ? 1 : 0;
+  }
+  EXPECT_NEAR(b, 50, 1);
+}
+
+TEST(Queue, OpenTransactionsComeFirst) {
+  Queue queue(Mixed(), 10);
+  queue.Push(At(0), TicketOf(1, "gold", 0, 1000));
+  Ticket step = TicketOf(2, "bronze", 0, 1000);
+  step.in_transaction = true;
+  queue.Push(At(0), step);
+  EXPECT_EQ(queue.Pop(At(1), Always)->tag, 2U);
+  EXPECT_EQ(queue.Pop(At(1), Always)->tag, 1U);
+}
+
+// There is no primary: writes wait, reads behind them go on, and afterwards
+// the writes are served in their old order.
+TEST(Queue, TicketsPassedOverKeepTheirPlace) {
+  Queue queue(Mixed(), 10);
+  for (uint64_t tag = 1; tag <= 6; ++tag) {
+    queue.Push(At(0), TicketOf(tag, "gold", 0, 1000));
+  }
+  const auto even = [](const Ticket& ticket) { return ticket.tag % 2 == 0; };
+  EXPECT_EQ(queue.Pop(At(1), even)->tag, 2U);
+  EXPECT_EQ(queue.Pop(At(1), even)->tag, 4U);
+  EXPECT_EQ(queue.Pop(At(1), Always)->tag, 1U);
+  EXPECT_EQ(queue.Pop(At(1), Always)->tag, 3U);
+  EXPECT_EQ(queue.Pop(At(1), even)->tag, 6U);
+  EXPECT_FALSE(queue.Pop(At(1), even).has_value());
+}
+
+// Without the measured rate a caller with 200 ms left would wait for them in
+// vain behind two seconds of work, instead of being told at once.
+TEST(Queue, RefusesWhatWouldNotFinishInTime) {
+  Queue queue({Policy("gold", 0)}, 10000);
+  const int64_t now = Measure(&queue, 0, 10);
+  uint64_t tag = 0;
+  for (int i = 0; i < 200; ++i) {
+    EXPECT_TRUE(
+        queue.Push(At(now), TicketOf(++tag, "gold", now, now + 60000)).empty());
+  }
+  const auto refused =
+      queue.Push(At(now), TicketOf(++tag, "gold", now, now + 200));
+  ASSERT_EQ(refused.size(), 1U);
+  EXPECT_EQ(refused[0].tag, tag);
+  EXPECT_EQ(refused[0].reason, Reason::kOverloaded);
+  EXPECT_GE(refused[0].retry_after, milliseconds(1500));
+  EXPECT_NEAR(static_cast<double>(queue.expected_wait(At(now), "gold").count()),
+              2000, 200);
+}
+
+// A burst after a quiet hour: the few statements of that hour say nothing
+// about how fast the group could be.
+TEST(Queue, ABurstAfterAQuietTimeIsTaken) {
+  Queue queue({Policy("gold", 0)}, 10000);
+  uint64_t tag = 0;
+  int64_t now = 0;
+  for (int i = 0; i < 60; ++i) {
+    now += 60000;
+    queue.Push(At(now), TicketOf(++tag, "gold", now, now + 100));
+    queue.Pop(At(now), Always);
+    queue.Finished(At(now + 1));
+  }
+  for (int i = 0; i < 100; ++i) {
+    EXPECT_TRUE(
+        queue.Push(At(now), TicketOf(++tag, "gold", now, now + 500)).empty());
+  }
+}
+
+// Higher classes use most of what the group can do. Told by the whole drain
+// rate, a low class would always seem to be nearly served, and its callers
+// would be held until their deadlines.
+TEST(Queue, LowClassesAreJudgedByWhatIsLeftForThem) {
+  Queue queue({Policy("gold", 0), Policy("bronze", 5)}, 10000);
+  int64_t now = Measure(&queue, 0, 10);
+  uint64_t tag = 0;
+  for (int i = 0; i < 90; ++i) {
+    queue.Push(At(now), TicketOf(++tag, "gold", now, now + 5000));
+    queue.Pop(At(now), Always);
+    queue.Push(At(now), TicketOf(++tag, "bronze", now, now + 60000));
+    now += 10;
+    queue.Finished(At(now));
+  }
+  EXPECT_LT(queue.expected_wait(At(now), "gold"), milliseconds(50));
+  EXPECT_GT(queue.expected_wait(At(now), "bronze"), milliseconds(1500));
+}
+
+TEST(Queue, AFullQueueRefusesTheLowestClassFirst) {
+  Queue queue(Mixed(), 3);
+  queue.Push(At(0), TicketOf(1, "bronze", 0, 1000));
+  queue.Push(At(0), TicketOf(2, "bronze", 0, 1000));
+  queue.Push(At(0), TicketOf(3, "silver", 0, 1000));
+  auto refused = queue.Push(At(0), TicketOf(4, "gold", 0, 1000));
+  ASSERT_EQ(refused.size(), 1U);
+  EXPECT_EQ(refused[0].tag, 2U);
+  refused = queue.Push(At(0), TicketOf(5, "bronze", 0, 1000));
+  ASSERT_EQ(refused.size(), 1U);
+  EXPECT_EQ(refused[0].tag, 5U);
+}
+
+// One workspace floods the group. Those of its class that ask for little must
+// still get in.
+TEST(Queue, AFloodingWorkspaceGivesWayWithinItsClass) {
+  Queue queue({Policy("flood", 1), Policy("calm", 1)}, 100);
+  uint64_t tag = 0;
+  for (int i = 0; i < 500; ++i) {
+    queue.Push(At(0), TicketOf(++tag, "flood", 0, 1000));
+  }
+  const auto refused = queue.Push(At(0), TicketOf(++tag, "calm", 0, 1000));
+  ASSERT_EQ(refused.size(), 1U);
+  EXPECT_NE(refused[0].tag, tag);
+  EXPECT_EQ(queue.size(), 100U);
+}
+
+// The group stops draining while tickets wait. They are told so once it is
+// plain that they won't be served, not when their deadline comes.
+TEST(Queue, ExpireGivesUpBeforeTheDeadlineWhenTheGroupStalls) {
+  Queue queue({Policy("gold", 0)}, 10000);
+  const int64_t now = Measure(&queue, 0, 10);
+  for (uint64_t tag = 1; tag <= 100; ++tag) {
+    queue.Push(At(now), TicketOf(tag, "gold", now, now + 3000));
+  }
+  EXPECT_TRUE(queue.Expire(At(now)).empty());
+  size_t refused = 0;
+  for (int64_t later = now; later < now + 2000; later += 20) {
+    for (const Refusal& refusal : queue.Expire(At(later))) {
+      EXPECT_EQ(refusal.reason, Reason::kOverloaded);
+      ++refused;
+    }
+  }
+  EXPECT_GT(refused, 50U);
+}
+
+TEST(Queue, DropRefusesWhatMatches) {
+  Queue queue(Mixed(), 10);
+  for (uint64_t tag = 1; tag <= 6; ++tag) {
+    queue.Push(At(0), TicketOf(tag, "gold", 0, 1000));
+  }
+  const auto refused =
+      queue.Drop(At(1), Reason::kNoPrimary,
+                 [](const Ticket& ticket) { return ticket.tag > 4; });
+  EXPECT_EQ(refused.size(), 2U);
+  EXPECT_EQ(refused[0].reason, Reason::kNoPrimary);
+  EXPECT_EQ(queue.size(), 4U);
+}
+
+// Everybody refused at once: told the same time, all would be back at once.
+TEST(Queue, RefusedCallersComeBackSpreadOut) {
+  Queue queue({Policy("gold", 0)}, 10000, 7);
+  const int64_t now = Measure(&queue, 0, 10);
+  for (uint64_t tag = 1; tag <= 500; ++tag) {
+    queue.Push(At(now), TicketOf(tag, "gold", now, now + 60000));
+  }
+  const auto refused = queue.Drop(At(now), Reason::kNoPrimary, Always);
+  std::map<int64_t, int> per_second;
+  for (const Refusal& refusal : refused) {
+    ++per_second[refusal.retry_after.count() / 1000];
+  }
+  for (const auto& [second, callers] : per_second) {
+    EXPECT_LE(callers, 110) << second;
+  }
+}
+
+TEST(Queue, NewPoliciesApplyToWhatWaits) {
+  Queue queue({Policy("a", 0), Policy("b", 1)}, 10);
+  queue.Push(At(0), TicketOf(1, "a", 0, 1000));
+  queue.Push(At(0), TicketOf(2, "b", 0, 1000));
+  queue.SetPolicies({Policy("a", 1), Policy("b", 0)}, 10);
+  EXPECT_EQ(queue.Pop(At(1), Always)->tag, 2U);
+  EXPECT_EQ(queue.Pop(At(1), Always)->tag, 1U);
+}
+
+TEST(Queue, NextDeadlineIsTheEarliest) {
+  Queue queue(Mixed(), 10);
+  EXPECT_EQ(queue.next_deadline(), TimePoint::max());
+  queue.Push(At(0), TicketOf(1, "gold", 0, 1000));
+  queue.Push(At(0), TicketOf(2, "gold", 0, 500));
+  EXPECT_EQ(queue.next_deadline(), At(500));
+  EXPECT_EQ(queue.waiting(), std::vector<std::string>{"gold"});
+}
+
+}  // namespace
+}  // namespace ryefold::core::admission
