--- /dev/null
+++ b/testsuite/membership_roster/roster_test.cc
@@ -0,0 +1,135 @@
+#include "ryefold/core/membership/roster.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <map>
+
+namespace ryefold::core::membership {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr TimePoint kNow{1h};
+
+std::vector<Member> Instances(size_t count, size_t regions = 1) {
+  std::vector<Member> all;
+  for (size_t i = 0; i < count; ++i) {
+    Member member;
+    member.name = "i" + std::to_string(i);
+    member.failure_domain = "d" + std::to_string(i % 5);
+    member.region = "r" + std::to_string(i % regions);
+    all.push_back(member);
+  }
+  return all;
+}
+
+Member DatabaseIn(const std::string& name, const std::string& region) {
+  Member member;
+  member.name = name;
+  member.kind = MemberKind::kDatabase;
+  member.group = "g";
+  member.region = region;
+  return member;
+}
+
+std::string Group(size_t i) { return "g" + std::to_string(i); }
+
+// An instance dies. Only the groups that it kept may move: each move costs
+// connections that are reopened at 10 to 30 ms each while callers wait.
+RC_GTEST_PROP(Roster, ALostInstanceMovesOnlyItsOwnGroups, ()) {
+  const auto count = *rc::gen::inRange<size_t>(2, 60);
+  const auto lost = *rc::gen::inRange<size_t>(0, count);
+  std::vector<Member> members = Instances(count);
+  Roster before;
+  before.SetMembers(members);
+  const std::string name = members[lost].name;
+  members.erase(members.begin() + static_cast<ptrdiff_t>(lost));
+  Roster after;
+  after.SetMembers(members);
+  for (size_t i = 0; i < 50; ++i) {
+    std::vector<std::string> order = before.Intended(Group(i));
+    std::erase(order, name);
+    const std::vector<std::string>& rest = after.Intended(Group(i));
+    RC_ASSERT(std::equal(order.begin(), order.end(), rest.begin()));
+  }
+}
+
+TEST(Roster, GroupsAreSpreadEvenly) {
+  Roster roster;
+  roster.SetMembers(Instances(100));
+  std::map<std::string, int> kept;
+  constexpr int kGroups = 2000;
+  for (size_t i = 0; i < kGroups; ++i) ++kept[roster.Intended(Group(i))[0]];
+  int most = 0;
+  for (const auto& [name, count] : kept) most = std::max(most, count);
+  EXPECT_LE(most, 40);  // twice the mean
+}
+
+TEST(Roster, SuspectedLastAndBackAfterAWhile) {
+  Roster roster;
+  roster.SetMembers(Instances(8));
+  const std::string first = roster.Intended("g")[0];
+  const std::string second = roster.Intended("g")[1];
+  roster.Suspect(kNow, first);
+  EXPECT_EQ(roster.Ranked(kNow, "g").front(), second);
+  EXPECT_EQ(roster.Ranked(kNow, "g").back(), first);
+  EXPECT_EQ(roster.Ranked(kNow + 6s, "g").front(), first);
+  roster.Suspect(kNow + 6s, first);
+  EXPECT_EQ(roster.Ranked(kNow + 15s, "g").front(), second);
+  roster.Trust(first);
+  EXPECT_EQ(roster.Ranked(kNow + 15s, "g").front(), first);
+}
+
+// The entry's own network is broken, so it suspects everybody. It must still
+// have somebody to ask once the network is back.
+TEST(Roster, SuspectingEverybodyLeavesTheOrder) {
+  Roster roster;
+  roster.SetMembers(Instances(40));
+  const std::vector<std::string> order = roster.Intended("g");
+  for (size_t i = 0; i < 40; ++i) {
+    roster.Suspect(kNow, "i" + std::to_string(i));
+  }
+  const std::vector<std::string> ranked = roster.Ranked(kNow, "g");
+  EXPECT_EQ(ranked.size(), 40U);
+  EXPECT_TRUE(std::equal(order.begin(), order.end(), ranked.begin()));
+}
+
+TEST(Roster, LeavingInstancesComeAfterLiveOnes) {
+  std::vector<Member> members = Instances(5);
+  Roster roster;
+  roster.SetMembers(members);
+  const std::string first = roster.Intended("g")[0];
+  for (Member& member : members) {
+    if (member.name == first) member.state = MemberState::kLeaving;
+  }
+  roster.SetMembers(members);
+  EXPECT_EQ(roster.Intended("g").back(), first);
+}
+
+// Two regions lose each other for minutes. In the one that holds one database
+// of three, an instance that kept the group would ask that database to adopt
+// new terms, and the group would have no primary once they meet again.
+TEST(Roster, OnlyTheRegionWithMostDatabasesKeepsAGroup) {
+  std::vector<Member> members = Instances(20, 2);
+  members.push_back(DatabaseIn("a", "r1"));
+  members.push_back(DatabaseIn("b", "r1"));
+  members.push_back(DatabaseIn("c", "r0"));
+  Roster roster;
+  roster.SetMembers(members);
+  for (size_t i = 0; i < 20; ++i) {
+    const std::string name = "i" + std::to_string(i);
+    if (roster.Find(name)->region == "r1") roster.Suspect(kNow, name);
+  }
+  for (const std::string& name : roster.Ranked(kNow, "g")) {
+    EXPECT_EQ(roster.Find(name)->region, "r1");
+  }
+  std::erase_if(members, [](const Member& member) {
+    return member.kind == MemberKind::kInstance && member.region == "r1";
+  });
+  roster.SetMembers(members);
+  EXPECT_EQ(roster.Ranked(kNow, "g").size(), 10U);
+}
+
+}  // namespace
+}  // namespace ryefold::core::membership
