--- a/src/bench/load.cc
+++ b/src/bench/load.cc
@@ -296,7 +296,7 @@
     options.threads = std::max(1, parsed["threads"].as<int>());
     return ryefold::bench::Run(
         options, std::chrono::seconds(parsed["seconds"].as<int>()));
-  } catch (const cxxopts::OptionException& error) {
+  } catch (const cxxopts::exceptions::exception& error) {
     std::cerr << "bench_load: " << error.what() << "; see --help\n";
     return 2;
   }
--- a/src/ryefoldd/main.cc
+++ b/src/ryefoldd/main.cc
@@ -195,7 +195,7 @@
     }
     flags.settings = parsed["settings"].as<std::string>();
     flags.check = parsed.count("check-settings") > 0;
-  } catch (const cxxopts::OptionException& error) {
+  } catch (const cxxopts::exceptions::exception& error) {
     std::cerr << "ryefoldd: " << error.what() << "; see --help\n";
     return ryefold::ryefoldd::kExitUsage;
   }
