--- a/testsuite/standins/lib/database.h
+++ b/testsuite/standins/lib/database.h
@@ -70,7 +70,9 @@
   /// The connection closed: its open transaction is rolled back.
   void Close(SessionId session);
   /// Called when the writer's lock has been given back.
-  void OnWriterFree(std::function<void()> free) { writer_free_ = free; }
+  void OnWriterFree(std::function<void()> free) {
+    writer_free_ = std::move(free);
+  }
 
   // ---- control calls ----
 
--- /dev/null
+++ b/testsuite/standins/process.sh
@@ -0,0 +1,125 @@
+# Helpers of the process tests; sourced. Each test gets a folder of its own,
+# and everything that it started ends with it.
+
+set -euo pipefail
+export BUILD="${BUILD:-build}"
+work=$(mktemp -d)
+readonly work
+stack="$work/stack"
+checks=0
+
+stop_all() {
+  local code=$?
+  local pids
+  mapfile -t pids < <(jobs -p)
+  [ "${#pids[@]}" -eq 0 ] || kill "${pids[@]}" 2>/dev/null || true
+  if [ -e "$stack/stack.json" ]; then
+    scripts/local_stack.sh down --dir "$stack" >/dev/null || true
+  fi
+  if [ "$code" -ne 0 ]; then
+    echo "FAILED; last lines of the logs:" >&2
+    tail -n 5 "$stack"/*.log >&2 2>/dev/null || true
+  fi
+  rm -rf "$work"
+  exit "$code"
+}
+trap stop_all EXIT
+# Writing to a connection that the other side closed is an answer, not an end.
+trap : PIPE
+
+up() {
+  scripts/local_stack.sh up --dir "$stack" "$@" >"$work/up.log" 2>&1 ||
+    { cat "$work/up.log" >&2; exit 1; }
+}
+
+# check WHAT ACTUAL EXPECTED
+check() {
+  checks=$((checks + 1))
+  [ "$2" = "$3" ] && return 0
+  echo "$1: got '$2', expected '$3'" >&2
+  exit 1
+}
+
+# check_that WHAT COMMAND...: the command succeeds.
+check_that() {
+  local what="$1"
+  shift
+  checks=$((checks + 1))
+  "$@" && return 0
+  echo "$what: does not hold" >&2
+  exit 1
+}
+
+# eventually WHAT COMMAND...: the command succeeds sooner or later. The bound
+# only ends a run that would hang; no verdict rests on how long it took.
+eventually() {
+  local what="$1" turn
+  shift
+  checks=$((checks + 1))
+  for ((turn = 0; turn < 600; ++turn)); do
+    "$@" && return 0
+    sleep 0.05
+  done
+  echo "$what: never came" >&2
+  exit 1
+}
+
+passed() {
+  echo "passed, $checks checks"
+}
+
+# address NAME and pid_of NAME, from the stack's file.
+address() {
+  jq -r --arg name "$1" '.processes[] | select(.name == $name) | .address' \
+    "$stack/stack.json"
+}
+pid_of() {
+  jq -r --arg name "$1" '.processes[] | select(.name == $name) | .pid' \
+    "$stack/stack.json"
+}
+key_of() {
+  jq -r --arg name "$1" '.workspaces[] | select(.name == $name) | .key' \
+    "$stack/stack.json"
+}
+
+# post NAME PATH BODY: prints the answer's body.
+post() {
+  curl -s -m 20 "$(address "$1")$2" -d "$3"
+}
+fault() {
+  post "$1" /fault "$2" >/dev/null
+}
+
+# ---- one statement connection by hand, kept open between calls ----
+
+# connect NAME: opens a TCP connection; sets fd.
+connect() {
+  local at
+  at=$(address "$1")
+  exec {fd}<>"/dev/tcp/${at%:*}/${at#*:}"
+}
+
+# call FD PATH BODY: sets code and body. Code 000 stands for no whole answer.
+call() {
+  local line length=0
+  code=000
+  body=""
+  printf 'POST %s HTTP/1.1\r\nHost: test\r\nContent-Length: %d\r\n\r\n%s' \
+    "$2" "${#3}" "$3" >&"$1" 2>/dev/null || return 0
+  IFS=' ' read -r -t 20 _ status _ <&"$1" || return 0
+  while IFS= read -r -t 20 line <&"$1"; do
+    line="${line%$'\r'}"
+    [ -n "$line" ] || break
+    case "$line" in Content-Length:*) length="${line#*: }" ;; esac
+  done
+  LC_ALL=C IFS= read -r -d '' -t 20 -n "$length" body <&"$1" || true
+  [ "${#body}" -ne "$length" ] || code="$status"
+}
+
+
+# statement TERM KIND ID SQL: body of an execute call with a record.
+statement() {
+  jq -nc --argjson term "$1" --arg kind "$2" --arg id "$3" --arg sql "$4" \
+    '{term: $term, step: "statement", kind: $kind, request_id: $id,
+      workspace: "test", record: ($kind == "write"), sql: $sql, params: []}'
+}
