--- a/testsuite/admission_queue/queue_test.cc
+++ b/testsuite/admission_queue/queue_test.cc
@@ -225,6 +225,19 @@
   }
 }
 
+// Statements that find a free slot finish without anything waiting. Counted
+// against no busy time, they would make the group look endlessly fast, and
+// nothing would be refused when it is not.
+TEST(Queue, StatementsThatNeverWaitedTellNothing) {
+  Queue queue({Policy("gold", 0)}, 10000);
+  for (int64_t ms = 0; ms < 10000; ++ms) queue.Finished(At(ms));
+  const int64_t now = Measure(&queue, 10000, 10);
+  for (uint64_t tag = 1; tag <= 100; ++tag) {
+    queue.Push(At(now), TicketOf(tag, "gold", now, now + 60000));
+  }
+  EXPECT_GT(queue.expected_wait(At(now), "gold"), milliseconds(800));
+}
+
 // Higher classes use most of what the group can do. Told by the whole drain
 // rate, a low class would always seem to be nearly served, and its callers
 // would be held until their deadlines.
