--- a/src/include/ryefold/core/configuration/node.h
+++ b/src/include/ryefold/core/configuration/node.h
@@ -156,6 +156,9 @@
   /// It may be in the store, or it is there but too few instances are known
   /// to hold it. Repeating the same change_id settles it.
   kUnknown,
+  /// No edits, two edits of one key, or too large for the store; nothing of
+  /// it was tried.
+  kInvalid,
 };
 struct PublishDone {
   Tag tag = 0;
@@ -210,6 +213,9 @@
   uint64_t snapshot_every = 256;
   /// Bytes of documents in one block or snapshot part, before encoding.
   size_t block_bytes = 256 << 10;
+  /// Largest change that is taken. The store holds values up to a megabyte,
+  /// and JSON in JSON grows by its escaped quotes.
+  size_t change_bytes = 400 << 10;
   std::chrono::milliseconds exchange_interval{1000};
   std::chrono::milliseconds list_interval{1000};
   std::chrono::milliseconds watch_wait{30000};
--- a/src/libcore/configuration/publisher.cc
+++ b/src/libcore/configuration/publisher.cc
@@ -1,6 +1,8 @@
 #include "publisher.h"
 
 #include <algorithm>
+#include <iterator>
+#include <set>
 #include <utility>
 
 namespace ryefold::core::configuration {
@@ -23,9 +25,24 @@
   pending.deadline = request.deadline;
   pending.next_try = now;
   pending_.push_back(std::move(pending));
+  if (!Valid(request.change)) {
+    Finish(std::prev(pending_.end()), PublishStatus::kInvalid);
+    return;
+  }
   Advance(now);
 }
 
+bool Publisher::Valid(const Change& change) const {
+  size_t bytes = change.change_id.size() + change.author.size();
+  std::set<std::string> keys;
+  for (const Edit& edit : change.edits) {
+    bytes += edit.key.size() + (edit.text ? edit.text->size() : 0);
+    if (edit.key.empty() || !keys.insert(edit.key).second) return false;
+  }
+  const bool named = !change.change_id.empty() && !keys.empty();
+  return named && bytes <= context_->options.change_bytes;
+}
+
 Publisher::Entry Publisher::Find(Tag tag) {
   return std::find_if(pending_.begin(), pending_.end(),
                       [tag](const Pending& p) { return p.tag == tag; });
--- a/src/libcore/configuration/publisher.h
+++ b/src/libcore/configuration/publisher.h
@@ -65,6 +65,7 @@
   std::optional<uint64_t> Present(const Change& change) const;
   std::vector<Conflict> Conflicts(const Change& change) const;
   bool Behind(const Change& change) const;
+  bool Valid(const Change& change) const;
 
   Context* context_;
   Gossip* gossip_;
--- /dev/null
+++ b/testsuite/configuration_codec/codec_test.cc
@@ -0,0 +1,164 @@
+// Messages survive the way over the wire, damaged ones are refused, and those
+// of a newer version with more members are still read.
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "ryefold/wire/exchange_codec.h"
+#include "ryefold/wire/platform_codec.h"
+#include "testsuite/support/control/changes.h"
+
+namespace ryefold::wire {
+namespace {
+
+using namespace core::configuration;  // NOLINT(google-build-using-namespace)
+using core::membership::Member;
+using core::membership::MemberKind;
+using core::membership::MemberState;
+using testing::control::ChangeOf;
+
+Member SomeMember() {
+  return {"g1-0",
+          MemberKind::kDatabase,
+          MemberState::kLeaving,
+          "10.0.0.1:1",
+          "",
+          "g1",
+          "domain1",
+          "region1"};
+}
+
+Exchange SomeExchange() {
+  Exchange exchange;
+  exchange.from = "i0001";
+  exchange.standing = {7, 9,    true, std::chrono::milliseconds(250),
+                       5, true, true};
+  Document document{
+      "template/t",        3,
+      "text \"quoted\"\n", "c1",
+      "operator",          std::chrono::sys_seconds(std::chrono::seconds(99))};
+  Document deleted{"template/u", 4, std::nullopt, "c2", "operator", {}};
+  exchange.documents = {{document, deleted}, 1, 4, true};
+  exchange.members = {{SomeMember()}, {"gone"}, 8, false};
+  exchange.notices = {{SomeMember(), 12}};
+  return exchange;
+}
+
+TEST(ExchangeCodec, RoundTrip) {
+  const Exchange exchange = SomeExchange();
+  const std::string body = WritePeerRequest(exchange);
+  const auto read = ReadPeerControlRequest(kPeerExchange, body);
+  ASSERT_TRUE(read.has_value());
+  const auto& back = std::get<Exchange>(*read);
+  EXPECT_EQ(back.from, exchange.from);
+  EXPECT_EQ(back.standing.revision, 7U);
+  EXPECT_EQ(back.standing.have_documents, 5U);
+  EXPECT_EQ(back.standing.store_age, std::chrono::milliseconds(250));
+  EXPECT_EQ(back.documents.documents, exchange.documents.documents);
+  EXPECT_TRUE(back.documents.complete);
+  EXPECT_EQ(back.members.changed, exchange.members.changed);
+  EXPECT_EQ(back.members.removed, exchange.members.removed);
+  EXPECT_EQ(back.notices[0].sequence, 12U);
+  EXPECT_EQ(WritePeerRequest(back), body);
+}
+
+TEST(ExchangeCodec, OtherMessagesRoundTrip) {
+  const std::vector<PeerRequest> requests = {ForceQuery{4, {"a", "b"}},
+                                             DutyCheck{{"g1", "g2"}}};
+  for (const PeerRequest& request : requests) {
+    const std::string body = WritePeerRequest(request);
+    const auto read = ReadPeerControlRequest(PathOf(request), body);
+    ASSERT_TRUE(read.has_value());
+    EXPECT_EQ(WritePeerRequest(*read), body);
+  }
+  const std::vector<std::pair<std::string_view, PeerAnswer>> answers = {
+      {kPeerExchange, ExchangeReply{{1, 2, true, {}, 1, false, true}, {}, {}}},
+      {kPeerForce, ForceReply{3, {"x"}}},
+      {kPeerDuty, DutyReply{{"g1"}}}};
+  for (const auto& [path, answer] : answers) {
+    const std::string body = WritePeerAnswer(answer);
+    const auto read = ReadPeerControlAnswer(path, body);
+    ASSERT_TRUE(read.has_value());
+    EXPECT_EQ(WritePeerAnswer(*read), body);
+  }
+}
+
+// While a fleet is being replaced, two versions talk to each other. A member
+// that the older one does not know must not make it drop the message.
+TEST(ExchangeCodec, UnknownMembersAreSkipped) {
+  // {"rev": 4, "new": [1, 2], "others": ["a"]}
+  const std::string body(
+      "\x83\xa3rev\x04\xa3new\x92\x01\x02\xa6others\x91\xa1"
+      "a",
+      23);
+  const auto read = ReadPeerControlRequest(kPeerForce, body);
+  ASSERT_TRUE(read.has_value());
+  EXPECT_EQ(std::get<ForceQuery>(*read).revision, 4U);
+  EXPECT_EQ(std::get<ForceQuery>(*read).others.size(), 1U);
+}
+
+// A message cut short or with bytes turned over must be refused or read as
+// something else, never crash the instance.
+RC_GTEST_PROP(ExchangeCodec, DamagedMessagesDoNoHarm, ()) {
+  std::string body = WritePeerRequest(SomeExchange());
+  const auto at = *rc::gen::inRange<size_t>(0, body.size());
+  if (*rc::gen::arbitrary<bool>()) {
+    body.resize(at);
+    RC_ASSERT(!ReadPeerControlRequest(kPeerExchange, body).has_value());
+  } else {
+    body[at] = *rc::gen::arbitrary<char>();
+    ReadPeerControlRequest(kPeerExchange, body);
+  }
+}
+
+TEST(PlatformCodec, StoreValuesRoundTrip) {
+  Change change = ChangeOf("c1", "template/t", 4, "{\"a\": \"\\u00e9\"}\n");
+  change.edits.push_back({"workspace/w", 2, std::nullopt});
+  const SnapshotPointer pointer{8, "ryefold/snapshot/8-i1-1", 2, 4};
+  const SnapshotPart part{
+      {{"k", 3, "text", "c", "a", {}}, {"l", 4, std::nullopt, "d", "a", {}}}};
+  const auto change_back =
+      ReadStoreValue(ChangeKey(5), WriteStoreValue(change));
+  EXPECT_EQ(std::get<Change>(*change_back), change);
+  const auto pointer_back =
+      ReadStoreValue(SnapshotKey(), WriteStoreValue(pointer));
+  EXPECT_EQ(std::get<SnapshotPointer>(*pointer_back), pointer);
+  const auto part_back =
+      ReadStoreValue(pointer.prefix + "/0", WriteStoreValue(part));
+  EXPECT_EQ(std::get<SnapshotPart>(*part_back).documents, part.documents);
+  EXPECT_TRUE(std::holds_alternative<std::monostate>(
+      *ReadStoreValue(ChangeKey(5), "")));
+  EXPECT_FALSE(ReadStoreValue(ChangeKey(5), "{\"edits\":3}").has_value());
+}
+
+TEST(PlatformCodec, AnswersAreReadByStatus) {
+  const StoreRequest put = StorePut{ChangeKey(1), Change(), 0};
+  const auto done = ReadStoreAnswer(put, 200, R"({"version":1})");
+  EXPECT_TRUE(std::get<StorePutDone>(*done).done);
+  const auto refused = ReadStoreAnswer(put, 409, R"({"version":3})");
+  EXPECT_FALSE(std::get<StorePutDone>(*refused).done);
+  // An error of the service says nothing about the put's effect.
+  EXPECT_FALSE(ReadStoreAnswer(put, 500, R"({"version":3})").has_value());
+  EXPECT_FALSE(ReadStoreAnswer(put, 200, "not json").has_value());
+  const StoreRequest get = StoreGet{ChangeKey(1)};
+  const auto absent = ReadStoreAnswer(get, 200, R"({"version":0,"value":""})");
+  EXPECT_EQ(std::get<StoreRead>(*absent).version, 0U);
+}
+
+TEST(PlatformCodec, InstancesRoundTrip) {
+  Member instance = SomeMember();
+  instance.name = "i1";
+  instance.kind = MemberKind::kInstance;
+  instance.state = MemberState::kLive;
+  instance.peer_address = "10.0.0.1:9";
+  const std::vector<Member> all = {SomeMember(), instance};
+  const auto read =
+      ReadStoreAnswer(StoreInstances{4}, 200, WriteInstances(5, all));
+  EXPECT_EQ(std::get<StoreInstancesRead>(*read).members, all);
+  const auto same =
+      ReadStoreAnswer(StoreInstances{5}, 200, WriteInstances(5, all));
+  EXPECT_TRUE(std::get<StoreInstancesRead>(*same).unchanged);
+}
+
+}  // namespace
+}  // namespace ryefold::wire
--- a/testsuite/configuration_publish/publish_test.cc
+++ b/testsuite/configuration_publish/publish_test.cc
@@ -102,6 +102,9 @@
 // The store takes the change and its answer gets lost. Told "conflict" or "not
 // taken", the operator would publish once more what is in force already.
 TEST_F(Publish, LostAnswerIsSettledByReadingBack) {
+  for (size_t i = 0; i < fleet_.size(); ++i) {
+    if (i != 4) fleet_.CutFromStore(i);
+  }
   fleet_.platform.lose_put_answers = 1;
   const auto tag = fleet_.Publish(4, ChangeOf("a", "group/g", 0, "one"), 20s);
   EXPECT_EQ(StatusOf(tag), PublishStatus::kAccepted);
@@ -132,6 +135,29 @@
   EXPECT_TRUE(fleet_.InForceEverywhere(1));
 }
 
+// The operator's tool never got the answer to a change that was accepted, and
+// repeats it through another instance. It must learn that the change is in
+// force, not that somebody else was faster.
+TEST_F(Publish, RepeatOfAnAcceptedChangeIsAcceptedAgain) {
+  const cfg::Change change = ChangeOf("a", "workspace/w", 0, "one");
+  StatusOf(fleet_.Publish(1, change));
+  fleet_.Run(3s);
+  const auto again = fleet_.Publish(6, change);
+  EXPECT_EQ(StatusOf(again), PublishStatus::kAccepted);
+  EXPECT_EQ(fleet_.Answer(again)->revision, 1U);
+  EXPECT_EQ(fleet_.platform.log().size(), 1U);
+}
+
+TEST_F(Publish, AChangeTooLargeForTheStoreIsInvalid) {
+  const std::string large(1 << 20, 'x');
+  EXPECT_EQ(StatusOf(fleet_.Publish(1, ChangeOf("a", "workspace/w", 0, large))),
+            PublishStatus::kInvalid);
+  cfg::Change twice = ChangeOf("b", "workspace/w", 0, "one");
+  twice.edits.push_back(twice.edits.front());
+  EXPECT_EQ(StatusOf(fleet_.Publish(1, twice)), PublishStatus::kInvalid);
+  EXPECT_EQ(fleet_.platform.puts, 0U);
+}
+
 // A change created a key, its answer got lost, somebody deleted the key, and
 // then the operator's tool repeats the change. Taken again, it would bring
 // back a workspace that was deleted on purpose.
@@ -216,6 +242,7 @@
   for (size_t i = 0; i < fleet_.size(); ++i) {
     if (i != 7) fleet_.Cut(7, i);
   }
+  fleet_.CutFromStore(7);
   fleet_.Run(500ms);
   StatusOf(fleet_.Publish(1, ChangeOf("a", "group/g", 0, "one")));
   const uint64_t seen = fleet_.node(1).documents().at("group/g").version;
