--- a/src/include/ryefold/core/group/request.h
+++ b/src/include/ryefold/core/group/request.h
@@ -28,7 +28,7 @@
   bool doubtful = false;
   /// A promotion discarded the entry that it wrote.
   bool discarded = false;
-  /// Its ticket is in the queue.
+  /// Its ticket may be in the queue.
   bool queued = false;
   /// Term under which it was sent last, and below which it is not sent again.
   uint64_t sent_term = 0;
--- a/src/libcore/group/keeper.cc
+++ b/src/libcore/group/keeper.cc
@@ -43,7 +43,7 @@
       promotion_(UniqueName(proposer, seed), timing, seed),
       reads_(std::move(near)),
       transactions_(std::move(proposer), seed),
-      queue_({}, group.queue_limit),
+      queue_({}, group.queue_limit, seed),
       retries_(kRetryRatio, kRetryBurst) {
   group_ = std::move(group);
   workspaces_ = std::move(workspaces);
--- a/src/libcore/group/keeper_answers.cc
+++ b/src/libcore/group/keeper_answers.cc
@@ -222,7 +222,7 @@
 }
 
 void Keeper::Impl::PutInDoubt(PendingRequest* pending) {
-  LeaveQueue(pending);
+  pending->queued = false;
   pending->doubtful = true;
   pending->state = RequestState::kInDoubt;
   // Without an id there is no record and nothing to fence.
@@ -370,7 +370,6 @@
 void Keeper::Impl::Forget(PendingRequest* pending) {
   const RequestTag tag = pending->tag;
   if (pending->queued) queue_.Remove(tag);
-  LeaveQueue(pending);
   deadlines_.erase({pending->request.deadline, tag});
   unconfirmed_.erase({pending->position, tag});
   unconfirmed_since_.erase({pending->confirming_since, tag});
--- a/src/libcore/group/keeper_impl.h
+++ b/src/libcore/group/keeper_impl.h
@@ -115,7 +115,6 @@
   void RefusedForTerm(PendingRequest* pending, const ExecuteAnswer& answer);
   void AnswerLost(PendingRequest* pending);
   void Retry(PendingRequest* pending);
-  void LeaveQueue(PendingRequest* pending);
   void PutInDoubt(PendingRequest* pending);
   void Confirm(PendingRequest* pending, RequestState state,
                const LogPosition& position);
@@ -156,8 +155,7 @@
   std::set<std::pair<LogPosition, RequestTag>> unconfirmed_;
   /// When each unconfirmed write was answered by the primary, oldest first.
   std::set<std::pair<TimePoint, RequestTag>> unconfirmed_since_;
-  /// Requests waiting in the queue, by workspace.
-  std::map<std::string, uint32_t> waiting_;
+  /// Workspaces that have requests waiting, while pumping.
   std::vector<std::string> wanted_;
 
   // The event being handled.
--- a/src/libcore/group/keeper_requests.cc
+++ b/src/libcore/group/keeper_requests.cc
@@ -88,17 +88,10 @@
   ticket.deadline = pending->request.deadline;
   ticket.enqueued = pending->read.arrived;
   ticket.in_transaction = pending->in_transaction();
-  ++waiting_[ticket.workspace];
   pending->queued = true;
   RefuseEarly(queue_.Push(now_, ticket));
 }
 
-void Keeper::Impl::LeaveQueue(PendingRequest* pending) {
-  if (!pending->queued) return;
-  pending->queued = false;
-  --waiting_[pending->request.workspace];
-}
-
 void Keeper::Impl::RefuseEarly(
     const std::vector<admission::Refusal>& refusals) {
   for (const admission::Refusal& refusal : refusals) {
@@ -155,10 +148,7 @@
 void Keeper::Impl::Pump() {
   round_wanted_.reset();
   look_again_ = TimePoint::max();
-  wanted_.clear();
-  for (const auto& [workspace, count] : waiting_) {
-    if (count > 0) wanted_.push_back(workspace);
-  }
+  wanted_ = queue_.waiting();
   // A full group is not worth the walk over everything that waits.
   while (queue_.size() > 0 && AnySlotFree()) {
     const auto ticket = queue_.Pop(
@@ -228,7 +218,7 @@
 
 void Keeper::Impl::Start(PendingRequest* pending) {
   const StatementRequest& request = pending->request;
-  LeaveQueue(pending);
+  pending->queued = false;
   if (pending->in_transaction()) {
     Transaction* open =
         transactions_.Find(request.transaction, request.workspace);
