--- a/src/bench/load.cc
+++ b/src/bench/load.cc
@@ -46,6 +46,7 @@
   std::string group;
   std::string sql;
   bool write = false;
+  int max_age_ms = 0;
   int connections = 16;
   int threads = 1;
   TimePoint end;
@@ -117,6 +118,9 @@
                        "\",\"workspace\":\"" + options_.workspace +
                        "\",\"sql\":\"" + options_.sql + "\",\"kind\":\"" +
                        (options_.write ? "write" : "read") + "\"";
+    if (options_.max_age_ms > 0) {
+      body += ",\"max_age_ms\":" + std::to_string(options_.max_age_ms);
+    }
     if (options_.write) body += ",\"request_id\":\"" + Id() + "\"";
     return body + "}";
   }
@@ -268,7 +272,11 @@
       "connections", "connections in all",
       cxxopts::value<int>()->default_value("16"))(
       "threads", "threads", cxxopts::value<int>()->default_value("1"))(
-      "seconds", "duration", cxxopts::value<int>()->default_value("5"))(
+      "max-age-ms", "data age that reads accept, 0 for the workspace's",
+      cxxopts::value<int>()->default_value("0"))(
+      "idle", "hold so many silent connections to --target instead",
+      cxxopts::value<int>())("seconds", "duration",
+                             cxxopts::value<int>()->default_value("5"))(
       "h,help", "show this text");
   try {
     const cxxopts::ParseResult parsed = flags.parse(argc, argv);
@@ -292,6 +300,7 @@
     options.group = parsed["group"].as<std::string>();
     options.sql = parsed["sql"].as<std::string>();
     options.write = parsed.count("write") > 0;
+    options.max_age_ms = parsed["max-age-ms"].as<int>();
     options.connections = parsed["connections"].as<int>();
     options.threads = std::max(1, parsed["threads"].as<int>());
     return ryefold::bench::Run(
--- a/src/ryefoldd/control_task.cc
+++ b/src/ryefoldd/control_task.cc
@@ -54,6 +54,8 @@
       return kConflict;
     case configuration::PublishStatus::kUnavailable:
       return kUnavailable;
+    case configuration::PublishStatus::kInvalid:
+      return kBadRequest;
     case configuration::PublishStatus::kUnknown:
       return kUnknownOutcome;
   }
