--- a/testsuite/standin_database/fixture.h
+++ b/testsuite/standin_database/fixture.h
@@ -10,7 +10,7 @@
 #include <utility>
 
 #include "testsuite/standins/lib/database.h"
-#include "testsuite/standins/lib/database_json.h"
+#include "testsuite/standins/lib/log_codec.h"
 
 namespace ryefold::standins {
 
--- a/testsuite/standins/database/puller.h
+++ b/testsuite/standins/database/puller.h
@@ -9,8 +9,8 @@
 
 #include "testsuite/standins/database/faults.h"
 #include "testsuite/standins/lib/database.h"
-#include "testsuite/standins/lib/database_json.h"
 #include "testsuite/standins/lib/http.h"
+#include "testsuite/standins/lib/log_codec.h"
 
 namespace ryefold::standins {
 
--- a/testsuite/standins/database/server.cc
+++ b/testsuite/standins/database/server.cc
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <utility>
 
-#include "testsuite/standins/lib/database_json.h"
-#include "testsuite/standins/lib/json.h"
+#include "ryefold/wire/database_codec.h"
+#include "testsuite/standins/lib/log_codec.h"
 #include "testsuite/standins/lib/timer.h"
 
 namespace ryefold::standins {
@@ -34,11 +34,11 @@
                {"/v1/commit", &DatabaseServer::OnStatement},
                {"/v1/rollback", &DatabaseServer::OnStatement},
                {"/v1/open", &DatabaseServer::OnOpen},
-               {"/v1/status", &DatabaseServer::OnStatus},
-               {"/v1/adopt", &DatabaseServer::OnAdopt},
-               {"/v1/promote", &DatabaseServer::OnPromote},
-               {"/v1/follow", &DatabaseServer::OnFollow},
-               {"/v1/settle", &DatabaseServer::OnSettle},
+               {"/v1/status", &DatabaseServer::OnControl},
+               {"/v1/adopt", &DatabaseServer::OnControl},
+               {"/v1/promote", &DatabaseServer::OnControl},
+               {"/v1/follow", &DatabaseServer::OnControl},
+               {"/v1/settle", &DatabaseServer::OnControl},
                {"/v1/log", &DatabaseServer::OnLog}};
 }
 
@@ -102,7 +102,7 @@
   if (open_.count(exchange.connection()) == 0) {
     return Answer(exchange, 409, R"({"error":"the connection is not open"})");
   }
-  auto call = ReadExecuteCall(exchange.path(), exchange.body());
+  auto call = wire::ReadExecuteCall(exchange.path(), exchange.body());
   if (!call) return Answer(exchange, 400, kBadCall);
   Remember(exchange.connection(), *call);
   database_.NoteReceived(exchange.connection(), *call);
@@ -147,7 +147,7 @@
 
 void DatabaseServer::AnswerStatement(const Pending& pending,
                                      const core::ExecuteAnswer& answer) {
-  const std::string body = ToJson(answer);
+  const std::string body = wire::WriteExecuteAnswer(answer);
   const bool loses = pending.call.step == core::Step::kStatement ||
                      pending.call.step == core::Step::kCommit;
   if (loses && faults_.drop_answers > 0) {
@@ -184,14 +184,24 @@
 
 // ---- control calls ----
 
-void DatabaseServer::OnStatus(const Exchange& exchange) {
-  const auto call = ReadStatusCall(exchange.body());
+void DatabaseServer::OnControl(const Exchange& exchange) {
+  const auto call = wire::ReadControlCall(exchange.path(), exchange.body());
   if (!call) return Answer(exchange, 400, kBadCall);
-  const StatusWaiter waiter{exchange, *call};
-  if (TryAnswer(waiter, call->wait.count() == 0)) return;
+  std::visit([&](const auto& one) { Take(exchange, one); }, *call);
+}
+
+void DatabaseServer::AnswerControl(const Exchange& exchange,
+                                   const core::ControlAnswer& answer) {
+  Answer(exchange, 200, wire::WriteControlAnswer(answer));
+}
+
+void DatabaseServer::Take(const Exchange& exchange,
+                          const core::StatusCall& call) {
+  const StatusWaiter waiter{exchange, call};
+  if (TryAnswer(waiter, call.wait.count() == 0)) return;
   const uint64_t id = ++last_waiter_;
   status_waiters_.emplace(id, waiter);
-  After(base_, call->wait, [this, id] { ExpireStatus(id); });
+  After(base_, call.wait, [this, id] { ExpireStatus(id); });
 }
 
 bool DatabaseServer::TryAnswer(const StatusWaiter& waiter, bool over) {
@@ -199,7 +209,7 @@
   const bool same = waiter.call.known_term == database_.adopted_term() &&
                     waiter.call.known_last == database_.log().last();
   if (same && !over) return false;
-  Answer(waiter.exchange, 200, ToJson(database_.status()));
+  AnswerControl(waiter.exchange, database_.status());
   return true;
 }
 
@@ -210,41 +220,39 @@
   status_waiters_.erase(found);
 }
 
-void DatabaseServer::OnAdopt(const Exchange& exchange) {
-  const auto call = ReadAdoptCall(exchange.body());
-  if (!call) return Answer(exchange, 400, kBadCall);
+void DatabaseServer::Take(const Exchange& exchange,
+                          const core::AdoptCall& call) {
   const uint64_t before = database_.adopted_term();
-  const core::AdoptAnswer answer = database_.Adopt(*call);
+  const core::AdoptAnswer answer = database_.Adopt(call);
   if (database_.adopted_term() != before) {
     puller_.Restart();
     Changed();
   }
-  Answer(exchange, 200, AcceptedToJson(answer.accepted, answer.status));
+  AnswerControl(exchange, answer);
 }
 
-void DatabaseServer::OnPromote(const Exchange& exchange) {
-  const auto call = ReadPromoteCall(exchange.body());
-  if (!call) return Answer(exchange, 400, kBadCall);
-  const core::RoleAnswer answer = database_.Promote(Now(), *call);
+void DatabaseServer::Take(const Exchange& exchange,
+                          const core::PromoteCall& call) {
+  const core::RoleAnswer answer = database_.Promote(Now(), call);
   Changed();
-  Answer(exchange, 200, AcceptedToJson(answer.accepted, answer.status));
+  AnswerControl(exchange, answer);
 }
 
-void DatabaseServer::OnFollow(const Exchange& exchange) {
-  const auto call = ReadFollowCall(exchange.body());
-  if (!call) return Answer(exchange, 400, kBadCall);
-  const core::RoleAnswer answer = database_.Follow(*call);
+void DatabaseServer::Take(const Exchange& exchange,
+                          const core::FollowCall& call) {
+  const core::RoleAnswer answer = database_.Follow(call);
   if (answer.accepted) puller_.Restart();
   Changed();
-  Answer(exchange, 200, AcceptedToJson(answer.accepted, answer.status));
+  AnswerControl(exchange, answer);
 }
 
-void DatabaseServer::OnSettle(const Exchange& exchange) {
-  const auto call = ReadSettleCall(exchange.body());
-  if (!call) return Answer(exchange, 400, kBadCall);
-  const core::SettleAnswer answer = database_.Settle(Now(), *call);
+void DatabaseServer::Take(const Exchange& exchange,
+                          const core::SettleCall& call) {
+  // Without an id there is nothing to look up or to fence.
+  if (call.request_id.empty()) return Answer(exchange, 400, kBadCall);
+  const core::SettleAnswer answer = database_.Settle(Now(), call);
   Changed();
-  Answer(exchange, 200, ToJson(answer));
+  AnswerControl(exchange, answer);
 }
 
 void DatabaseServer::OnLog(const Exchange& exchange) {
--- a/testsuite/standins/database/server.h
+++ b/testsuite/standins/database/server.h
@@ -76,11 +76,14 @@
   void Remember(ConnectionId connection, const core::ExecuteCall& call);
 
   // Control calls.
-  void OnStatus(const Exchange& exchange);
-  void OnAdopt(const Exchange& exchange);
-  void OnPromote(const Exchange& exchange);
-  void OnFollow(const Exchange& exchange);
-  void OnSettle(const Exchange& exchange);
+  void OnControl(const Exchange& exchange);
+  void Take(const Exchange& exchange, const core::StatusCall& call);
+  void Take(const Exchange& exchange, const core::AdoptCall& call);
+  void Take(const Exchange& exchange, const core::PromoteCall& call);
+  void Take(const Exchange& exchange, const core::FollowCall& call);
+  void Take(const Exchange& exchange, const core::SettleCall& call);
+  void AnswerControl(const Exchange& exchange,
+                     const core::ControlAnswer& answer);
   void OnLog(const Exchange& exchange);
   /// Entries, term or role may have changed: looks at the waiting calls, once
   /// for all changes of one turn of the loop.
