--- a/testsuite/standins/database/main.cc
+++ b/testsuite/standins/database/main.cc
@@ -6,11 +6,11 @@
 #include <csignal>
 #include <cstdio>
 #include <cxxopts.hpp>
-#include <memory>
 #include <optional>
 #include <sstream>
 
 #include "testsuite/standins/database/server.h"
+#include "testsuite/standins/lib/base.h"
 
 namespace ryefold::standins {
 namespace {
@@ -72,8 +72,7 @@
 
 int Run(const DatabaseOptions& options) {
   std::signal(SIGPIPE, SIG_IGN);
-  const std::unique_ptr<event_base, void (*)(event_base*)> base(
-      event_base_new(), event_base_free);
+  const EventBase base = NewEventBase();
   DatabaseServer server(base.get(), options);
   const std::string bound = server.Listen();
   if (bound.empty()) {
--- a/testsuite/standins/platform/main.cc
+++ b/testsuite/standins/platform/main.cc
@@ -5,10 +5,10 @@
 #include <csignal>
 #include <cstdio>
 #include <cxxopts.hpp>
-#include <memory>
 #include <string>
 
 #include "testsuite/standins/platform/server.h"
+#include "testsuite/standins/lib/base.h"
 
 namespace ryefold::standins {
 namespace {
@@ -26,8 +26,7 @@
 
 int Run(const std::string& listen, std::chrono::milliseconds list_lag) {
   std::signal(SIGPIPE, SIG_IGN);
-  const std::unique_ptr<event_base, void (*)(event_base*)> base(
-      event_base_new(), event_base_free);
+  const EventBase base = NewEventBase();
   PlatformServer server(base.get(), list_lag);
   const std::string bound = server.Listen(listen);
   if (bound.empty()) {
