--- a/testsuite/standins/platform/main.cc
+++ b/testsuite/standins/platform/main.cc
@@ -7,8 +7,8 @@
 #include <cxxopts.hpp>
 #include <string>
 
-#include "testsuite/standins/platform/server.h"
 #include "testsuite/standins/lib/base.h"
+#include "testsuite/standins/platform/server.h"
 
 namespace ryefold::standins {
 namespace {
