--- a/testsuite/standin_database/run.sh
+++ b/testsuite/standin_database/run.sh
@@ -8,8 +8,6 @@
 readonly A=passport-1-a B=passport-1-b C=passport-1-c
 last() { post "$1" /v1/status '{}' | jq -c .last; }
 same_last() { [ "$(last "$1")" = "$(last "$2")" ]; }
-log_of() { post "$1" /debug/log '{}' | jq -c .entries; }
-same_log() { [ "$(log_of "$1")" = "$(log_of "$2")" ]; }
 ids_of() { log_of "$1" | jq -r '.[].request_id'; }
 connections() { post "$1" /debug/connections '{}' | jq -r ".$2"; }
 
--- a/testsuite/standin_platform/run.sh
+++ b/testsuite/standin_platform/run.sh
@@ -5,26 +5,26 @@
 . testsuite/standins/process.sh
 
 up --instances 0
-ask() { post platform "$@"; }
+call_platform() { post platform "$@"; }
 code_of() {
-  curl -s -m "${3:-20}" -o /dev/null -w '%{http_code}' "$(address platform)$1" -d "$2" || true
+  curl -s -m "${3:-20}" -o /dev/null -w '%{http_code}' "${addresses[platform]}$1" -d "$2" || true
 }
-version() { ask /v1/get "{\"key\":\"$1\"}" | jq .version; }
+version() { call_platform /v1/get "{\"key\":\"$1\"}" | jq .version; }
 
 # A watch answers with the change, and counts as one call.
-check "first put" "$(ask /v1/put '{"key":"k","value":"1","expect":0}' | jq .version)" 1
-ask /v1/watch '{"key":"k","after":1,"wait_ms":15000}' >"$work/watch" &
+check "first put" "$(call_platform /v1/put '{"key":"k","value":"1","expect":0}' | jq .version)" 1
+call_platform /v1/watch '{"key":"k","after":1,"wait_ms":15000}' >"$work/watch" &
 watch=$!
-watching() { [ "$(ask /debug/calls '{}' | jq .watch)" = 1 ]; }
+watching() { [ "$(call_platform /debug/calls '{}' | jq .watch)" = 1 ]; }
 eventually "the watch arrives" watching
 check "conflict" "$(code_of /v1/put '{"key":"k","value":"x","expect":0}')" 409
 check "nothing yet" "$(wc -c <"$work/watch")" 0
-ask /v1/put '{"key":"k","value":"2","expect":1}' >/dev/null
+call_platform /v1/put '{"key":"k","value":"2","expect":1}' >/dev/null
 wait "$watch"
 check "watched" "$(jq -c . "$work/watch")" '{"version":2,"value":"2"}'
-check "watch that runs out" "$(ask /v1/watch '{"key":"k","after":2,"wait_ms":1}' | jq .version)" 2
-check "watch behind" "$(ask /v1/watch '{"key":"k","after":0,"wait_ms":15000}' | jq .version)" 2
-check "calls" "$(ask /debug/calls '{}' | jq -c '[.put, .watch]')" '[3,3]'
+check "watch that runs out" "$(call_platform /v1/watch '{"key":"k","after":2,"wait_ms":1}' | jq .version)" 2
+check "watch behind" "$(call_platform /v1/watch '{"key":"k","after":0,"wait_ms":15000}' | jq .version)" 2
+check "calls" "$(call_platform /debug/calls '{}' | jq -c '[.put, .watch]')" '[3,3]'
 
 # The answer to a put is lost though the change took effect.
 fault platform '{"lose_put_answers":1}'
@@ -36,9 +36,9 @@
 fault platform '{"refuse":true}'
 check "refused" "$(code_of /v1/get '{"key":"k"}')" 000
 fault platform '{"refuse":false,"down":true}'
-ask /v1/get '{"key":"k"}' >"$work/held" &
+call_platform /v1/get '{"key":"k"}' >"$work/held" &
 held=$!
-arrived() { [ "$(ask /debug/calls '{}' | jq .get)" -ge 3 ]; }
+arrived() { [ "$(call_platform /debug/calls '{}' | jq .get)" -ge 3 ]; }
 eventually "the held call arrives" arrived
 check "no answer" "$(wc -c <"$work/held")" 0
 fault platform '{"down":false}'
@@ -53,5 +53,5 @@
 check "too large" "$(code_of /v1/put "@$work/big")" 413
 check "broken" "$(code_of /v1/get '{"key":')" 400
 check "unknown" "$(code_of /v1/nothing '{}')" 404
-check "instances" "$(curl -s "$(address platform)/v1/instances" | jq '.instances | length')" 9
+check "instances" "$(curl -s "${addresses[platform]}/v1/instances" | jq '.instances | length')" 9
 passed
--- a/testsuite/standins/process.sh
+++ b/testsuite/standins/process.sh
@@ -30,6 +30,7 @@
 up() {
   scripts/local_stack.sh up --dir "$stack" "$@" >"$work/up.log" 2>&1 ||
     { cat "$work/up.log" >&2; exit 1; }
+  load_stack
 }
 
 # check WHAT ACTUAL EXPECTED
@@ -68,34 +69,89 @@
   echo "passed, $checks checks"
 }
 
-# address NAME and pid_of NAME, from the stack's file.
-address() {
-  jq -r --arg name "$1" '.processes[] | select(.name == $name) | .address' \
-    "$stack/stack.json"
-}
-pid_of() {
-  jq -r --arg name "$1" '.processes[] | select(.name == $name) | .pid' \
-    "$stack/stack.json"
-}
-key_of() {
-  jq -r --arg name "$1" '.workspaces[] | select(.name == $name) | .key' \
-    "$stack/stack.json"
+# Names of the stack's processes and workspaces, looked up once.
+declare -A addresses pids keys
+load_stack() {
+  local name value
+  while read -r name value; do addresses[$name]="$value"; done < <(
+    jq -r '.processes[] | "\(.name) \(.address)"' "$stack/stack.json")
+  while read -r name value; do pids[$name]="$value"; done < <(
+    jq -r '.processes[] | "\(.name) \(.pid)"' "$stack/stack.json")
+  while read -r name value; do keys[$name]="$value"; done < <(
+    jq -r '.workspaces[] | "\(.name) \(.key)"' "$stack/stack.json")
 }
 
 # post NAME PATH BODY: prints the answer's body.
 post() {
-  curl -s -m 20 "$(address "$1")$2" -d "$3"
+  curl -s -m 20 "${addresses[$1]}$2" -d "$3"
 }
 fault() {
   post "$1" /fault "$2" >/dev/null
 }
 
+# ---- callers ----
+
+# ask INSTANCE WORKSPACE FIELDS [PATH]: one request of a caller; prints the
+# answer. FIELDS is a JSON object without the workspace.
+ask() {
+  curl -s -m 70 "http://${addresses[$1]}${4:-/v1/statement}" \
+    -H "Authorization: Bearer ${keys[$2]}" \
+    -d "{\"workspace\":\"$2\",${3#\{}"
+}
+
+# write_fields ID SQL: a write that must not run twice.
+write_fields() {
+  printf '{"kind":"write","request_id":"%s","sql":"%s"}' "$1" "$2"
+}
+
+# writer NAME INSTANCE WORKSPACE: inserts one row after another, each with an
+# id of its own, until $work/stop appears. Each line of $work/written.NAME is
+# "id outcome reason time"; outcome "none" stands for no whole answer.
+writer() {
+  local name="$1" id answer outcome reason n=0
+  : >"$work/written.$name"
+  while [ ! -e "$work/stop" ]; do
+    n=$((n + 1))
+    id="$name-$n"
+    answer=$(ask "$2" "$3" \
+      "$(write_fields "$id" "INSERT INTO orders VALUES ('$id')")") || answer=""
+    outcome=none
+    reason=none
+    [[ "$answer" =~ \"outcome\":\"([a-z_]+)\" ]] && outcome="${BASH_REMATCH[1]}"
+    [[ "$answer" =~ \"reason\":\"([a-z_]+)\" ]] && reason="${BASH_REMATCH[1]}"
+    echo "$id $outcome $reason $EPOCHREALTIME" >>"$work/written.$name"
+    # Told when to come back; a caller that does not wait proves nothing more.
+    [ "$outcome" = done ] || sleep 0.05
+  done
+}
+
+# ids OUTCOME FILE...: the ids that were given this outcome.
+ids() {
+  local outcome="$1"
+  shift
+  awk -v outcome="$outcome" '$2 == outcome {print $1}' "$@"
+}
+
+# logged DATABASE: ids of the writes in its log, fences left out.
+logged() {
+  post "$1" /debug/log '{}' | jq -r \
+    '.entries[] | select(.kind == "statement" or .kind == "transaction")
+     | .request_id'
+}
+
+log_of() {
+  post "$1" /debug/log '{}' | jq -c .entries
+}
+same_log() {
+  [ "$(log_of "$1")" = "$(log_of "$2")" ]
+}
+
 # ---- one statement connection by hand, kept open between calls ----
 
 # connect NAME: opens a TCP connection; sets fd.
 connect() {
   local at
-  at=$(address "$1")
+  at="${addresses[$1]}"
   exec {fd}<>"/dev/tcp/${at%:*}/${at#*:}"
 }
 
