Test that an exception in an HTTP handler ends the loop in order

It leaves behind one bufferevent (944 bytes under LeakSanitizer) that libevent was using; restarts are limited in rate, so this stays small.

--- a/testsuite/wire_http/wire_http_test.cc
+++ b/testsuite/wire_http/wire_http_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <stdexcept>
 #include <thread>
 
 #include "ryefold/task/loop.h"
@@ -285,6 +286,23 @@
   EXPECT_EQ(held[0].body(), "x");
 }
 
+// A defect throws in a handler, which libevent calls. The task has to end in
+// order, so that its supervisor can start it anew, and the client must not be
+// left hanging.
+TEST_F(HttpTest, ExceptionInAHandlerReachesTheLoopsOwner) {
+  Listen([&](HttpExchange) { throw std::runtime_error("defect"); });
+  std::string answer = "none";
+  std::thread client([&] {
+    const RawSocket socket = RawSocket::Connect(server_->port());
+    socket.Send("GET / HTTP/1.1\r\n\r\n");
+    answer = socket.ReadAll();
+  });
+  EXPECT_THROW(loop_.Run(), std::runtime_error);
+  server_.reset();
+  client.join();
+  EXPECT_EQ(answer, "");
+}
+
 // An instance stops in order. The request in progress is answered and the
 // client learns that it has to connect elsewhere.
 TEST_F(HttpTest, StoppingServerAnswersAndAsksToClose) {
