Promotion step by step: tests; a newer primary is asked at once

A request in doubt waited for the pause, or for the lost primary's silence, before the new primary was asked about it: its caller got no answer within 100 ms of a kill although the new primary was there after 60 ms.

--- a/src/include/ryefold/core/group/resolution.h
+++ b/src/include/ryefold/core/group/resolution.h
@@ -20,10 +20,8 @@
   /// Requests to ask the primary of `term` about now; they count as asked.
   std::vector<RequestTag> TakeDue(TimePoint now, uint64_t term);
 
-  /// The primary of `term` refused for its term: ask again once there is a
-  /// newer one, or after a pause.
-  void Refused(TimePoint now, RequestTag tag, uint64_t term);
-  /// No answer, or the statement is still running: ask again after a pause.
+  /// No answer, a refusal, or the statement is still running: ask again after
+  /// a pause, or once there is a newer primary.
   void AskAgain(TimePoint now, RequestTag tag);
 
   bool empty() const { return doubts_.empty(); }
@@ -33,7 +31,7 @@
   struct Doubt {
     bool asked = false;
     TimePoint ask_at;
-    uint64_t refused_term = 0;
+    uint64_t asked_term = 0;
   };
   std::map<RequestTag, Doubt> doubts_;
 };
--- a/src/libcore/group/keeper_answers.cc
+++ b/src/libcore/group/keeper_answers.cc
@@ -252,7 +252,7 @@
     case SettleStatus::kStaleTerm:
     case SettleStatus::kNotPrimary:
       health_.Doubt(now_, call.database);
-      resolution_.Refused(now_, call.tag, call.term);
+      resolution_.AskAgain(now_, call.tag);
       return;
     case SettleStatus::kInProgress:
       resolution_.AskAgain(now_, call.tag);
--- a/src/libcore/group/resolution.cc
+++ b/src/libcore/group/resolution.cc
@@ -18,21 +18,17 @@
 std::vector<RequestTag> Resolution::TakeDue(TimePoint now, uint64_t term) {
   std::vector<RequestTag> due;
   for (auto& [tag, doubt] : doubts_) {
-    const bool newer = doubt.refused_term != 0 && term > doubt.refused_term;
-    if (doubt.asked || (doubt.ask_at > now && !newer)) continue;
+    // A newer primary is asked at once: the one before it is lost, and what it
+    // was asked may never be answered.
+    const bool newer = term > doubt.asked_term;
+    if (!newer && (doubt.asked || doubt.ask_at > now)) continue;
     doubt.asked = true;
+    doubt.asked_term = term;
     due.push_back(tag);
   }
   return due;
 }
 
-void Resolution::Refused(TimePoint now, RequestTag tag, uint64_t term) {
-  const auto it = doubts_.find(tag);
-  if (it == doubts_.end()) return;
-  AskAgain(now, tag);
-  it->second.refused_term = term;
-}
-
 void Resolution::AskAgain(TimePoint now, RequestTag tag) {
   const auto it = doubts_.find(tag);
   if (it == doubts_.end()) return;
--- /dev/null
+++ b/testsuite/group_promotion/promotion_test.cc
@@ -0,0 +1,210 @@
+// Losing and replacing a primary, step by step.
+
+#include <gtest/gtest.h>
+
+#include "testsuite/support/group/fake_group.h"
+
+namespace ryefold::test {
+namespace {
+
+using core::OutcomeKind;
+using core::Reason;
+using std::chrono::seconds;
+
+/// A group at rest with one keeper.
+std::unique_ptr<FakeGroup> Ready(GroupShape shape = Tamworth()) {
+  auto group = std::make_unique<FakeGroup>(std::move(shape), 7);
+  group->AddKeeper();
+  group->time().RunFor(seconds(1));
+  return group;
+}
+
+std::string Text(const std::vector<std::string>& wrong) {
+  std::string text;
+  for (const std::string& line : wrong) text += line + "\n";
+  return text;
+}
+
+uint64_t Promotions(FakeGroup& group) {
+  uint64_t count = 0;
+  for (size_t i = 0; i < group.keepers(); ++i) {
+    for (const auto& [name, times] :
+         group.keeper(static_cast<int>(i)).promotions) {
+      count += times;
+    }
+  }
+  return count;
+}
+
+// The primary's process dies with writes under way. Callers that have time are
+// served by the next primary; nobody waits for the dead one.
+TEST(Promotion, AKilledPrimaryIsReplacedAndWaitingWritesGoOn) {
+  auto group = Ready();
+  group->Kill("a");
+  const auto write =
+      group->Send(0, group->Write(seconds(2), /*repeatable=*/true));
+  // May reach no database a second time: the new primary fences its id.
+  const auto once = group->Send(0, group->Write(seconds(2)));
+  group->time().RunFor(milliseconds(100));
+  ASSERT_TRUE(group->asked(write).answer.has_value());
+  EXPECT_EQ(group->asked(write).answer->kind(), OutcomeKind::kDone);
+  EXPECT_EQ(group->asked(write).answer->seen().term, 2u);
+  ASSERT_TRUE(group->asked(once).answer.has_value());
+  EXPECT_EQ(group->asked(once).answer->kind(), OutcomeKind::kNotRun);
+  EXPECT_EQ(group->asked(once).answer->reason(), Reason::kFenced);
+  EXPECT_EQ(Text(group->HealAndCheck()), "");
+}
+
+// A network partition takes the primary from its peers, but it still accepts
+// connections and runs writes. If one were acknowledged, the promotion of a
+// replica would lose it.
+TEST(Promotion, APrimaryCutOffFromItsPeersGetsNoWriteAcknowledged) {
+  auto group = Ready();
+  (*group)["a"].peers_cut = true;
+  const auto write = group->Send(0, group->Write(seconds(5)));
+  group->time().RunFor(milliseconds(500));
+  EXPECT_GE((*group)["a"].log().last().index, 2u);
+  EXPECT_FALSE(group->asked(write).answer.has_value());
+  group->time().RunFor(seconds(3));
+  ASSERT_TRUE(group->asked(write).answer.has_value());
+  // It was in the old primary's log only, so it was discarded and fenced.
+  EXPECT_EQ(group->asked(write).answer->kind(), OutcomeKind::kNotRun);
+  EXPECT_EQ(group->asked(write).answer->reason(), Reason::kDiscarded);
+  const auto next = group->Send(0, group->Write(seconds(1)));
+  group->time().RunFor(milliseconds(100));
+  EXPECT_EQ(group->asked(next).answer->kind(), OutcomeKind::kDone);
+  EXPECT_EQ(Text(group->HealAndCheck()), "");
+}
+
+// With two databases gone nobody can be promoted. A caller that was left to
+// wait for its deadline would hang for nothing; it hears so at once.
+TEST(Promotion, WithoutAMajorityWritesAreRefusedAtOnce) {
+  auto group = Ready();
+  group->Kill("a");
+  group->Kill("c");
+  group->time().RunFor(seconds(1));
+  const auto write = group->Send(0, group->Write(seconds(30)));
+  ASSERT_TRUE(group->asked(write).answer.has_value());
+  EXPECT_EQ(group->asked(write).answered_at, group->asked(write).at);
+  EXPECT_EQ(group->asked(write).answer->reason(), Reason::kNoPrimary);
+  EXPECT_GT(group->asked(write).answer->retry_after(), milliseconds(0));
+}
+
+// The primary dies and its replacement takes a while over a slow network. A
+// caller whose deadline comes before the new primary can be there is told so
+// at once, with when to come back, instead of at its deadline.
+TEST(Promotion, ARequestThatCannotOutlastTheGapIsRefusedAtOnce) {
+  auto group = Ready();
+  group->keeper(0).extra_delay["b"] = milliseconds(150);
+  group->keeper(0).extra_delay["c"] = milliseconds(150);
+  group->Kill("a");
+  group->time().RunFor(milliseconds(40));
+  const auto waiting = group->Send(0, group->Write(milliseconds(200), true));
+  group->time().RunFor(milliseconds(30));
+  ASSERT_TRUE(group->asked(waiting).answer.has_value());
+  EXPECT_EQ(group->asked(waiting).answer->reason(), Reason::kNoPrimary);
+  const auto brief = group->Send(0, group->Write(milliseconds(100)));
+  EXPECT_EQ(group->asked(brief).answered_at, group->asked(brief).at);
+  ASSERT_TRUE(group->asked(brief).answer.has_value());
+  EXPECT_EQ(group->asked(brief).answer->reason(), Reason::kNoPrimary);
+  EXPECT_GT(group->asked(brief).answer->retry_after(), milliseconds(0));
+  const auto patient = group->Send(0, group->Write(seconds(3)));
+  group->time().RunFor(seconds(3));
+  EXPECT_EQ(group->asked(patient).answer->kind(), OutcomeKind::kDone);
+}
+
+// Statements hang for three seconds behind a lock, though the database is
+// well. A promotion would cut off everything and make no statement faster.
+TEST(Promotion, StalledStatementsCauseNone) {
+  auto group = Ready();
+  (*group)["a"].stall = seconds(3);
+  for (int i = 0; i < 40; ++i) {
+    group->Send(0, group->Write(seconds(4)));
+    group->time().RunFor(milliseconds(100));
+  }
+  group->time().RunFor(seconds(4));
+  EXPECT_EQ(Promotions(*group), 0u);
+}
+
+// Every packet to and from the primary takes half a second more, in a group
+// that is idle, so that each status call also waits inside the database.
+TEST(Promotion, ASlowNetworkCausesNone) {
+  auto group = Ready();
+  group->keeper(0).extra_delay["a"] = milliseconds(500);
+  (*group)["b"].shape().lag = milliseconds(500);
+  (*group)["c"].shape().lag = milliseconds(500);
+  for (int i = 0; i < 5; ++i) {
+    group->Send(0, group->Write(seconds(4)));
+    group->time().RunFor(seconds(3));
+  }
+  group->keeper(0).extra_delay.clear();
+  group->time().RunFor(seconds(5));
+  EXPECT_EQ(Promotions(*group), 0u);
+}
+
+// A keeper freezes in the middle of a promotion; another finishes the job.
+// When the first wakes it goes on where it stopped, with an old term. If that
+// were obeyed, the group would have two primaries.
+TEST(Promotion, AProposerThatWakesLateIsHarmless) {
+  for (int pause_us = 0; pause_us < 4000; pause_us += 250) {
+    auto group = Ready();
+    group->AddKeeper();
+    group->time().RunFor(seconds(1));
+    group->Kill("a");
+    // Loss is noticed some 52 ms after the kill; freeze it thereabouts.
+    group->time().RunFor(milliseconds(52) +
+                         std::chrono::microseconds(pause_us));
+    group->FreezeKeeper(0);
+    group->time().RunFor(seconds(3));
+    const auto before = group->Send(1, group->Write(seconds(1)));
+    group->time().RunFor(milliseconds(200));
+    ASSERT_EQ(group->asked(before).answer->kind(), OutcomeKind::kDone)
+        << pause_us;
+    group->keeper(0).Thaw();
+    group->time().RunFor(milliseconds(1000));
+    const auto after = group->Send(0, group->Write(seconds(2)));
+    group->time().RunFor(seconds(2));
+    EXPECT_EQ(group->asked(after).answer->kind(), OutcomeKind::kDone)
+        << pause_us;
+    EXPECT_EQ(Text(group->HealAndCheck()), "") << pause_us;
+  }
+}
+
+// Two keepers notice the loss in the same instant and propose the same term.
+TEST(Promotion, TwoProposersAtOnceEndWithOnePrimary) {
+  for (uint64_t seed = 0; seed < 20; ++seed) {
+    FakeGroup group(Tamworth(), seed);
+    group.AddKeeper();
+    group.AddKeeper();
+    group.time().RunFor(seconds(1));
+    group.Kill("a");
+    const auto first = group.Send(0, group.Write(seconds(3), true));
+    const auto second = group.Send(1, group.Write(seconds(3), true));
+    group.time().RunFor(seconds(3));
+    EXPECT_EQ(group.asked(first).answer->kind(), OutcomeKind::kDone) << seed;
+    EXPECT_EQ(group.asked(second).answer->kind(), OutcomeKind::kDone) << seed;
+    EXPECT_EQ(Text(group.HealAndCheck()), "") << seed;
+  }
+}
+
+// The keeper dies at any point of a promotion and leaves the group without a
+// primary, or with one that nobody follows. The next keeper has to see that.
+TEST(Promotion, AKeeperLostInTheMiddleIsSucceeded) {
+  for (int after_us = 0; after_us < 6000; after_us += 250) {
+    auto group = Ready();
+    group->Kill("a");
+    group->time().RunFor(milliseconds(52) +
+                         std::chrono::microseconds(after_us));
+    group->keeper(0).Kill();
+    const int next = group->AddKeeper();
+    const auto write = group->Send(next, group->Write(seconds(4)));
+    group->time().RunFor(seconds(4));
+    ASSERT_TRUE(group->asked(write).answer.has_value()) << after_us;
+    EXPECT_EQ(group->asked(write).answer->kind(), OutcomeKind::kDone)
+        << after_us;
+    EXPECT_EQ(Text(group->HealAndCheck()), "") << after_us;
+  }
+}
+
+}  // namespace
+}  // namespace ryefold::test
