--- a/src/include/ryefold/core/group/leadership.h
+++ b/src/include/ryefold/core/group/leadership.h
@@ -61,7 +61,8 @@
  private:
   bool leaving(const std::string& database) const;
   bool SuccessorLevel(const Health& health) const;
-  bool CutOff(TimePoint now, const Health& health) const;
+  /// Whether a majority besides the primary answers: somebody to take over.
+  bool OthersReachable(TimePoint now, const Health& health) const;
   void UpdatePrimary(const Health& health);
   void UpdateStray(TimePoint now, const Health& health);
   void UpdateProgress(TimePoint now, const Health& health,
--- a/src/libcore/group/leadership.cc
+++ b/src/libcore/group/leadership.cc
@@ -112,7 +112,9 @@
   if (confirmation.confirmed() > confirmed_) doublings_ = 0;
   confirmed_ = confirmation.confirmed();
   best_replica_ = best_replica;
-  if (level) {
+  // Replicas that were away are given the whole time to confirm once they are
+  // back; they would otherwise replace a primary that they are about to follow.
+  if (level || !OthersReachable(now, health)) {
     progress_until_.reset();
   } else if (!progress_until_ || moved) {
     progress_until_ = now + timing_.unconfirmed_after * (1 << doublings_);
@@ -128,9 +130,7 @@
   return static_cast<size_t>(reachable) >= Majority(group_.databases.size());
 }
 
-bool Leadership::CutOff(TimePoint now, const Health& health) const {
-  if (!progress_until_ || now < *progress_until_) return false;
-  // Without a majority besides the primary there is nobody to take over.
+bool Leadership::OthersReachable(TimePoint now, const Health& health) const {
   const auto others =
       std::count_if(group_.databases.begin(), group_.databases.end(),
                     [this, now, &health](const DatabaseSpec& spec) {
@@ -161,7 +161,9 @@
     return due ? PromotionCause::kNoPrimary : PromotionCause::kNone;
   }
   if (health.lost(now, primary_)) return PromotionCause::kPrimaryLost;
-  if (CutOff(now, health)) return PromotionCause::kPrimaryCutOff;
+  if (progress_until_ && now >= *progress_until_) {
+    return PromotionCause::kPrimaryCutOff;
+  }
   if (primary_leaving()) {
     const bool successor = std::any_of(
         group_.databases.begin(), group_.databases.end(),
--- /dev/null
+++ b/testsuite/group_outcomes/confirmation_test.cc
@@ -0,0 +1,147 @@
+// What positions tell, without a group around it.
+
+#include "ryefold/core/group/confirmation.h"
+
+#include <gtest/gtest.h>
+
+#include "ryefold/core/group/promotion.h"
+
+namespace ryefold::core::group {
+namespace {
+
+constexpr TimePoint kSent{};
+
+DatabaseStatus Status(const std::string& name, uint64_t adopted,
+                      std::vector<TermStart> starts, LogPosition last) {
+  DatabaseStatus status;
+  status.database = name;
+  status.adopted_term = adopted;
+  status.term_starts = std::move(starts);
+  status.last = last;
+  return status;
+}
+
+Confirmation OfThree() {
+  Confirmation confirmation;
+  confirmation.SetDatabases({"a", "b", "c"});
+  return confirmation;
+}
+
+TEST(Confirmation, AWriteIsKeptOnceAReplicaHoldsItToo) {
+  Confirmation confirmation = OfThree();
+  confirmation.Saw("a", Status("a", 1, {{1, 1}}, {1, 5}), kSent);
+  EXPECT_EQ(confirmation.Judge({1, 5}), Verdict::kPending);
+  confirmation.Saw("b", Status("b", 1, {{1, 1}}, {1, 4}), kSent);
+  EXPECT_EQ(confirmation.Judge({1, 4}), Verdict::kKept);
+  EXPECT_EQ(confirmation.Judge({1, 5}), Verdict::kPending);
+}
+
+// A write of term 2 was made by a primary that reached nobody. The database
+// that took over in term 3 had a longer log of term 1, so the write's index
+// lies below the start of term 3, in a log that never held the write. By the
+// index alone its caller would be told "done".
+TEST(Confirmation, AnIndexBelowTheNewTermIsNotEnoughToBeKept) {
+  Confirmation confirmation = OfThree();
+  const std::vector<TermStart> starts = {{1, 1}, {3, 9}};
+  confirmation.Saw("b", Status("b", 3, starts, {3, 9}), kSent);
+  confirmation.Saw("c", Status("c", 3, starts, {3, 9}), kSent);
+  EXPECT_EQ(confirmation.Judge({2, 6}), Verdict::kDiscarded);
+  EXPECT_EQ(confirmation.Judge({1, 6}), Verdict::kKept);
+}
+
+// The new primary's log shows a write as discarded. Until a second database
+// has an entry of the new term, a third term can still bring the write back.
+TEST(Confirmation, ANewTermOnOneDatabaseDecidesNothing) {
+  Confirmation confirmation = OfThree();
+  confirmation.Saw("b", Status("b", 2, {{1, 1}, {2, 5}}, {2, 5}), kSent);
+  confirmation.Saw("c", Status("c", 2, {{1, 1}}, {1, 4}), kSent);
+  EXPECT_EQ(confirmation.Judge({1, 7}), Verdict::kPending);
+  confirmation.Saw("c", Status("c", 2, {{1, 1}, {2, 5}}, {2, 5}), kSent);
+  EXPECT_EQ(confirmation.Judge({1, 7}), Verdict::kDiscarded);
+}
+
+// A majority holds an entry of an older term, but one database has an entry of
+// a newer term without it and can still be promoted over both.
+TEST(Confirmation, EntriesOfAnOlderTermAreNotCountedByThemselves) {
+  Confirmation confirmation = OfThree();
+  confirmation.Saw("c", Status("c", 3, {{1, 1}, {3, 5}}, {3, 5}), kSent);
+  confirmation.Saw("a", Status("a", 3, {{1, 1}, {2, 5}}, {2, 6}), kSent);
+  confirmation.Saw("b", Status("b", 3, {{1, 1}, {2, 5}}, {2, 6}), kSent);
+  EXPECT_EQ(confirmation.Judge({2, 6}), Verdict::kPending);
+}
+
+// The databases' last entries are of different terms, and the longer log is
+// the older one: what a majority acknowledged is in the shorter.
+TEST(Proposal, TheLaterTermGoesBeforeTheLongerLog) {
+  Promotion promotion("instance#1", {}, 1);
+  const TimePoint now = kSent + std::chrono::seconds(1);
+  promotion.Start(now, 3, {{"a", false, true}, {"b"}, {"c"}});
+  ASSERT_EQ(promotion.TakeCalls().size(), 3u);
+  const uint64_t term = promotion.term();
+  EXPECT_EQ(term, 4u);
+  AdoptAnswer answer{true, Status("b", term, {{1, 1}}, {1, 90})};
+  promotion.AdoptAnswered(now, term, "b", answer);
+  answer.status = Status("c", term, {{1, 1}, {3, 50}}, {3, 60});
+  promotion.AdoptAnswered(now, term, "c", answer);
+  const auto calls = promotion.TakeCalls();
+  ASSERT_EQ(calls.size(), 1u);
+  EXPECT_EQ(calls.front().database, "c");
+}
+
+// Two databases refuse the term for a higher one that they have adopted. To
+// promote the one that accepted would give the group a second primary.
+TEST(Proposal, NothingIsPromotedWithoutAMajority) {
+  Promotion promotion("instance#1", {}, 1);
+  const TimePoint now = kSent + std::chrono::seconds(1);
+  promotion.Start(now, 3, {{"a"}, {"b"}, {"c"}});
+  promotion.TakeCalls();
+  const uint64_t term = promotion.term();
+  promotion.AdoptAnswered(now, term, "a",
+                          {true, Status("a", term, {{1, 1}}, {1, 9})});
+  promotion.AdoptAnswered(now, term, "b",
+                          {false, Status("b", term + 1, {{1, 1}}, {1, 9})});
+  promotion.AdoptAnswered(now, term, "c",
+                          {false, Status("c", term + 1, {{1, 1}}, {1, 9})});
+  EXPECT_TRUE(promotion.TakeCalls().empty());
+  EXPECT_FALSE(promotion.ready(now));
+  promotion.Start(now + std::chrono::seconds(1), 3, {{"a"}, {"b"}, {"c"}});
+  EXPECT_EQ(promotion.term(), term + 2);
+}
+
+// The cut-off primary is reachable and reports the furthest log, but must not
+// be chosen; the two others make a majority by themselves.
+TEST(Proposal, ABarredDatabaseIsNotChosenThoughItIsFurthest) {
+  Promotion promotion("instance#1", {}, 1);
+  const TimePoint now = kSent + std::chrono::seconds(1);
+  promotion.Start(now, 1, {{"a", false, true}, {"b"}, {"c"}});
+  promotion.TakeCalls();
+  const uint64_t term = promotion.term();
+  promotion.AdoptAnswered(now, term, "a",
+                          {true, Status("a", term, {{1, 1}}, {1, 20})});
+  promotion.AdoptAnswered(now, term, "b",
+                          {true, Status("b", term, {{1, 1}}, {1, 9})});
+  EXPECT_TRUE(promotion.TakeCalls().empty());
+  promotion.AdoptAnswered(now, term, "c",
+                          {true, Status("c", term, {{1, 1}}, {1, 8})});
+  const auto calls = promotion.TakeCalls();
+  ASSERT_EQ(calls.size(), 1u);
+  EXPECT_EQ(calls.front().database, "b");
+}
+
+// Only the cut-off primary and a replica behind it are left. The replica lacks
+// what the two may have acknowledged together, so it must not be promoted.
+TEST(Proposal, AMajorityFurtherThanTheCandidateForbidsIt) {
+  Promotion promotion("instance#1", {}, 1);
+  const TimePoint now = kSent + std::chrono::seconds(1);
+  promotion.Start(now, 1, {{"a", true, true}, {"b"}, {"c", false}});
+  promotion.TakeCalls();
+  const uint64_t term = promotion.term();
+  promotion.AdoptAnswered(now, term, "a",
+                          {true, Status("a", term, {{1, 1}}, {1, 20})});
+  promotion.AdoptAnswered(now, term, "b",
+                          {true, Status("b", term, {{1, 1}}, {1, 9})});
+  EXPECT_TRUE(promotion.TakeCalls().empty());
+}
+
+}  // namespace
+}  // namespace ryefold::core::group
--- a/testsuite/group_promotion/promotion_test.cc
+++ b/testsuite/group_promotion/promotion_test.cc
@@ -2,7 +2,7 @@
 
 #include <gtest/gtest.h>
 
-#include "testsuite/support/group/fake_group.h"
+#include "testsuite/support/group/checks.h"
 
 namespace ryefold::test {
 namespace {
@@ -11,35 +11,10 @@
 using core::Reason;
 using std::chrono::seconds;
 
-/// A group at rest with one keeper.
-std::unique_ptr<FakeGroup> Ready(GroupShape shape = Tamworth()) {
-  auto group = std::make_unique<FakeGroup>(std::move(shape), 7);
-  group->AddKeeper();
-  group->time().RunFor(seconds(1));
-  return group;
-}
-
-std::string Text(const std::vector<std::string>& wrong) {
-  std::string text;
-  for (const std::string& line : wrong) text += line + "\n";
-  return text;
-}
-
-uint64_t Promotions(FakeGroup& group) {
-  uint64_t count = 0;
-  for (size_t i = 0; i < group.keepers(); ++i) {
-    for (const auto& [name, times] :
-         group.keeper(static_cast<int>(i)).promotions) {
-      count += times;
-    }
-  }
-  return count;
-}
-
 // The primary's process dies with writes under way. Callers that have time are
 // served by the next primary; nobody waits for the dead one.
 TEST(Promotion, AKilledPrimaryIsReplacedAndWaitingWritesGoOn) {
-  auto group = Ready();
+  auto group = ReadyGroup();
   group->Kill("a");
   const auto write =
       group->Send(0, group->Write(seconds(2), /*repeatable=*/true));
@@ -59,7 +34,7 @@
 // connections and runs writes. If one were acknowledged, the promotion of a
 // replica would lose it.
 TEST(Promotion, APrimaryCutOffFromItsPeersGetsNoWriteAcknowledged) {
-  auto group = Ready();
+  auto group = ReadyGroup();
   (*group)["a"].peers_cut = true;
   const auto write = group->Send(0, group->Write(seconds(5)));
   group->time().RunFor(milliseconds(500));
@@ -79,7 +54,7 @@
 // With two databases gone nobody can be promoted. A caller that was left to
 // wait for its deadline would hang for nothing; it hears so at once.
 TEST(Promotion, WithoutAMajorityWritesAreRefusedAtOnce) {
-  auto group = Ready();
+  auto group = ReadyGroup();
   group->Kill("a");
   group->Kill("c");
   group->time().RunFor(seconds(1));
@@ -94,7 +69,7 @@
 // caller whose deadline comes before the new primary can be there is told so
 // at once, with when to come back, instead of at its deadline.
 TEST(Promotion, ARequestThatCannotOutlastTheGapIsRefusedAtOnce) {
-  auto group = Ready();
+  auto group = ReadyGroup();
   group->keeper(0).extra_delay["b"] = milliseconds(150);
   group->keeper(0).extra_delay["c"] = milliseconds(150);
   group->Kill("a");
@@ -116,7 +91,7 @@
 // Statements hang for three seconds behind a lock, though the database is
 // well. A promotion would cut off everything and make no statement faster.
 TEST(Promotion, StalledStatementsCauseNone) {
-  auto group = Ready();
+  auto group = ReadyGroup();
   (*group)["a"].stall = seconds(3);
   for (int i = 0; i < 40; ++i) {
     group->Send(0, group->Write(seconds(4)));
@@ -129,7 +104,7 @@
 // Every packet to and from the primary takes half a second more, in a group
 // that is idle, so that each status call also waits inside the database.
 TEST(Promotion, ASlowNetworkCausesNone) {
-  auto group = Ready();
+  auto group = ReadyGroup();
   group->keeper(0).extra_delay["a"] = milliseconds(500);
   (*group)["b"].shape().lag = milliseconds(500);
   (*group)["c"].shape().lag = milliseconds(500);
@@ -147,7 +122,7 @@
 // were obeyed, the group would have two primaries.
 TEST(Promotion, AProposerThatWakesLateIsHarmless) {
   for (int pause_us = 0; pause_us < 4000; pause_us += 250) {
-    auto group = Ready();
+    auto group = ReadyGroup();
     group->AddKeeper();
     group->time().RunFor(seconds(1));
     group->Kill("a");
@@ -191,7 +166,7 @@
 // primary, or with one that nobody follows. The next keeper has to see that.
 TEST(Promotion, AKeeperLostInTheMiddleIsSucceeded) {
   for (int after_us = 0; after_us < 6000; after_us += 250) {
-    auto group = Ready();
+    auto group = ReadyGroup();
     group->Kill("a");
     group->time().RunFor(milliseconds(52) +
                          std::chrono::microseconds(after_us));
--- /dev/null
+++ b/testsuite/support/group/checks.h
@@ -0,0 +1,41 @@
+#pragma once
+
+// Small helpers that the tests of a group share.
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "testsuite/support/group/fake_group.h"
+
+namespace ryefold::test {
+
+/// A group at rest with one keeper.
+inline std::unique_ptr<FakeGroup> ReadyGroup(GroupShape shape = Tamworth(),
+                                             uint64_t seed = 7) {
+  auto group = std::make_unique<FakeGroup>(std::move(shape), seed);
+  group->AddKeeper();
+  group->time().RunFor(std::chrono::seconds(1));
+  return group;
+}
+
+/// What `HealAndCheck` found, one line each.
+inline std::string Text(const std::vector<std::string>& wrong) {
+  std::string text;
+  for (const std::string& line : wrong) text += line + "\n";
+  return text;
+}
+
+/// Promote calls that all keepers have made.
+inline uint64_t Promotions(FakeGroup& group) {
+  uint64_t count = 0;
+  for (size_t i = 0; i < group.keepers(); ++i) {
+    for (const auto& [name, times] :
+         group.keeper(static_cast<int>(i)).promotions) {
+      count += times;
+    }
+  }
+  return count;
+}
+
+}  // namespace ryefold::test
