Mend three faults that tests of guards showed

A new instance's notice was dropped when it knew nobody to tell yet, so one that had announced that it leaves and was started again under its name stayed "leaving" for all others until the notice ran out (seen: two keepers of four groups for over 10 s after a restart). An old instance that was cut off and a new one beside it vouched for each other and both became ready; now an instance that knows nothing does not count as having been heard.

--- a/src/include/ryefold/core/configuration/messages.h
+++ b/src/include/ryefold/core/configuration/messages.h
@@ -52,7 +52,9 @@
 struct Standing {
   uint64_t revision = 0;
   uint64_t list_version = 0;
-  /// Whether the sender itself knows what is in force.
+  /// Whether the sender holds a whole state, however old.
+  bool known = false;
+  /// Whether it also hears others that do, or the store.
   bool ready = false;
   /// Time since the store last answered any instance, as far as is known.
   std::chrono::milliseconds store_age{0};
--- a/src/include/ryefold/core/configuration/node.h
+++ b/src/include/ryefold/core/configuration/node.h
@@ -218,7 +218,7 @@
   size_t change_bytes = 400 << 10;
   std::chrono::milliseconds exchange_interval{1000};
   std::chrono::milliseconds list_interval{1000};
-  std::chrono::milliseconds watch_wait{30000};
+  std::chrono::milliseconds watch_wait{10000};
   std::chrono::milliseconds store_timeout{2000};
   std::chrono::milliseconds peer_timeout{1000};
   /// Silence of store and peers after which the node is not ready.
--- a/src/libcore/configuration/context.cc
+++ b/src/libcore/configuration/context.cc
@@ -70,9 +70,7 @@
   if (found == peer_calls_.end()) return;
   const PeerPending pending = std::move(found->second);
   peer_calls_.erase(found);
-  if (answer != nullptr) {
-    peer_heard = now;
-  } else {
+  if (answer == nullptr) {
     ++counters.peer_failures;
     if (!pending.name.empty()) peers[pending.name].avoid_until = now + kAvoid;
   }
@@ -134,6 +132,7 @@
   Standing standing;
   standing.revision = documents.revision();
   standing.list_version = members.version();
+  standing.known = documents.known();
   standing.ready = Ready(now);
   standing.store_age =
       std::chrono::duration_cast<std::chrono::milliseconds>(now - store_seen);
@@ -143,7 +142,11 @@
 
 void Context::Heard(TimePoint now, const std::string& name,
                     const Standing& standing) {
-  peer_heard = now;
+  // A new instance knows nothing itself: two that are cut off from all others,
+  // one old and one new, must not take each other for the fleet. Those that
+  // know something count even when not ready, or a fleet that had lost touch
+  // for a moment during an outage of the store would never be ready again.
+  if (standing.known) peer_heard = now;
   store_seen = std::max(store_seen, now - standing.store_age);
   if (!name.empty()) peers[name].revision = standing.revision;
   // A peer that does not know what is in force itself can't vouch for an
--- a/src/libcore/configuration/context.h
+++ b/src/libcore/configuration/context.h
@@ -75,6 +75,8 @@
   NodeView counters;
   /// There is something that peers may not have yet.
   bool news = false;
+  /// The next change has been cleared from the store: a snapshot is needed.
+  bool far_behind = false;
   TimePoint started;
   TimePoint peer_heard;
   TimePoint store_heard;
--- a/src/libcore/configuration/follower.cc
+++ b/src/libcore/configuration/follower.cc
@@ -75,8 +75,9 @@
       next_watch_ = now + context_->options.list_interval;
     }
   }
-  const bool load = !context_->documents.known() && !loading_;
-  if (load && load_at_ <= now) Load(now);
+  const bool load = !context_->documents.known() && load_at_ <= now;
+  if (load || context_->far_behind) Load(now);
+  context_->far_behind = false;
 }
 
 void Follower::Backoff(TimePoint now) {
--- a/src/libcore/configuration/gossip.cc
+++ b/src/libcore/configuration/gossip.cc
@@ -78,24 +78,29 @@
 }
 
 void Gossip::Tick(TimePoint now) {
-  if (push_at_ <= now) {
-    push_at_ = TimePoint::max();
-    last_push_ = now;
-    std::vector<Notice> notices = std::move(notices_);
-    notices_.clear();
-    // A notice interests everybody; documents only those that lack them.
-    const uint64_t revision =
-        notices.empty() ? context_->documents.revision() : UINT64_MAX;
-    for (const std::string& name :
-         Choose(now, context_->options.fanout, revision)) {
-      Exchange exchange = Compose(now, name);
-      exchange.notices = notices;
-      Send(now, name, context_->AddressOf(name), std::move(exchange));
-    }
-  }
+  if (push_at_ <= now) Push(now);
   if (next_exchange_ <= now) ExchangeWithOne(now);
 }
 
+void Gossip::Push(TimePoint now) {
+  push_at_ = TimePoint::max();
+  last_push_ = now;
+  // A notice interests everybody; documents only those that lack them.
+  const uint64_t revision =
+      notices_.empty() ? context_->documents.revision() : UINT64_MAX;
+  const std::vector<std::string> names =
+      Choose(now, context_->options.fanout, revision);
+  for (const std::string& name : names) {
+    Exchange exchange = Compose(now, name);
+    exchange.notices = notices_;
+    Send(now, name, context_->AddressOf(name), std::move(exchange));
+  }
+  // A new instance has nobody to tell before it knows the list. Dropped here,
+  // its notice would leave it "leaving" for all others if its predecessor of
+  // the same name had said so.
+  if (!names.empty()) notices_.clear();
+}
+
 void Gossip::Spread(TimePoint now, uint64_t revision, size_t count) {
   std::vector<std::string> names = Choose(now, count, revision);
   const std::vector<std::string>& others = context_->others();
--- a/src/libcore/configuration/gossip.h
+++ b/src/libcore/configuration/gossip.h
@@ -40,6 +40,7 @@
                  const Standing& standing);
   void Fill(const Standing& wants, DocumentBlock* documents,
             MemberBlock* members) const;
+  void Push(TimePoint now);
   void ExchangeWithOne(TimePoint now);
   std::vector<std::string> Choose(TimePoint now, size_t count,
                                   uint64_t revision);
--- a/src/libcore/configuration/publisher.cc
+++ b/src/libcore/configuration/publisher.cc
@@ -188,6 +188,7 @@
     // Emptied long ago: this instance is far behind, and its put there can
     // never take effect.
     entry->unsettled = 0;
+    context_->far_behind = true;
     RetryLater(now, entry);
     return;
   }
--- a/src/libcore/membership/duties.cc
+++ b/src/libcore/membership/duties.cc
@@ -44,7 +44,8 @@
     TimePoint cover_until;
     /// All that stand before this instance are looked at until then.
     TimePoint inspect_until;
-    uint32_t declined = 0;
+    /// Since when the one that should does not serve it, though it answers.
+    TimePoint declined_since;
   };
   struct Target {
     uint32_t misses = 0;
@@ -159,7 +160,7 @@
                                   duty->cover_until > now);
   if (first) {
     duty->cover_until = TimePoint();
-    duty->declined = 0;
+    duty->declined_since = TimePoint();
   }
   if (keep == duty->keeping) return;
   duty->keeping = keep;
@@ -205,12 +206,14 @@
   if (found == duties_.end()) return;
   Duty& duty = found->second;
   if (served) {
-    duty.declined = 0;
+    duty.declined_since = TimePoint();
     if (duty.cover_until != TimePoint()) duty.cover_until = now;
     return;
   }
-  ++duty.declined;
-  if (duty.keeping || duty.declined >= timing_.misses) {
+  if (duty.declined_since == TimePoint()) duty.declined_since = now;
+  // Not at the first no: the two may just not have heard the same yet.
+  const bool lasting = now - duty.declined_since >= 2 * timing_.check_interval;
+  if (duty.keeping || lasting) {
     duty.cover_until = now + 3 * timing_.check_interval;
   }
 }
--- a/src/libwire/exchange_codec.cc
+++ b/src/libwire/exchange_codec.cc
@@ -112,6 +112,7 @@
 void PutStanding(MapWriter* map, const Standing& standing) {
   map->Put("rev", standing.revision);
   map->Put("list", standing.list_version);
+  map->Put("known", standing.known);
   map->Put("ready", standing.ready);
   map->Put("age", int64_t{standing.store_age.count()});
   // Equal to the revision unless documents are on their way.
@@ -269,6 +270,7 @@
 void GetStanding(const MapReader& map, Standing* standing) {
   map.Get("rev", &standing->revision);
   map.Get("list", &standing->list_version);
+  map.Get("known", &standing->known);
   map.Get("ready", &standing->ready);
   int64_t age = 0;
   map.Get("age", &age);
--- a/testsuite/configuration_codec/codec_test.cc
+++ b/testsuite/configuration_codec/codec_test.cc
@@ -31,7 +31,7 @@
 Exchange SomeExchange() {
   Exchange exchange;
   exchange.from = "i0001";
-  exchange.standing = {7, 9,    true, std::chrono::milliseconds(250),
+  exchange.standing = {7, 9,    true, true, std::chrono::milliseconds(250),
                        5, true, true};
   Document document{
       "template/t",        3,
@@ -72,7 +72,8 @@
     EXPECT_EQ(WritePeerRequest(*read), body);
   }
   const std::vector<std::pair<std::string_view, PeerAnswer>> answers = {
-      {kPeerExchange, ExchangeReply{{1, 2, true, {}, 1, false, true}, {}, {}}},
+      {kPeerExchange,
+       ExchangeReply{{1, 2, true, true, {}, 1, false, true}, {}, {}}},
       {kPeerForce, ForceReply{3, {"x"}}},
       {kPeerDuty, DutyReply{{"g1"}}}};
   for (const auto& [path, answer] : answers) {
--- a/testsuite/configuration_outage/outage_test.cc
+++ b/testsuite/configuration_outage/outage_test.cc
@@ -117,6 +117,43 @@
       fleet_->RunUntil([&] { return fleet_->InForceEverywhere(2); }, 2s));
 }
 
+// An instance has been cut off for minutes, the others have gone on, and a new
+// instance is started beside it that reaches nobody else. Taking each other
+// for the fleet, both would serve an old configuration as if it were in force.
+TEST_F(Outage, AnOldAndANewInstanceAloneAreNotReady) {
+  Begin({});
+  PublishMany(1);
+  for (size_t i = 0; i < fleet_->size(); ++i) {
+    if (i != 2 && i != 3) fleet_->Cut(2, i);
+    if (i != 2 && i != 3) fleet_->Cut(3, i);
+  }
+  fleet_->CutFromStore(2);
+  fleet_->CutFromStore(3);
+  fleet_->Kill(3);
+  fleet_->Run(60s);
+  fleet_->Start(3);
+  fleet_->Run(30s);
+  EXPECT_FALSE(fleet_->node(2).ready(fleet_->now()));
+  EXPECT_FALSE(fleet_->node(3).ready(fleet_->now()));
+}
+
+// The store is down and for ten seconds no instance reaches any other. When
+// they do again, they know as much as before; waiting for the store, every
+// workspace would be refused for as long as that takes.
+TEST_F(Outage, ReadyAgainAfterAMomentWithoutAnybody) {
+  Begin({});
+  PublishMany(1);
+  fleet_->Run(2s);
+  fleet_->platform.down = true;
+  for (size_t a = 0; a < fleet_->size(); ++a) {
+    for (size_t b = 0; b < a; ++b) fleet_->Cut(a, b);
+  }
+  fleet_->Run(10s);
+  EXPECT_FALSE(fleet_->node(1).ready(fleet_->now()));
+  fleet_->Heal();
+  EXPECT_TRUE(fleet_->RunUntil([&] { return fleet_->AllReady(); }, 5s));
+}
+
 // An instance is cut off from all peers but reaches the store. It is not one
 // of those that wait on the store; if it went on hoping for peers, changes
 // would not be in force on it.
@@ -145,7 +182,9 @@
 // them, and a change gets into the store whose publisher dies unheard. It must
 // come into force all the same once others notice the silence.
 TEST_F(Outage, OthersTakeOverTheWatchWhenAllWatchersAreDead) {
-  Begin({});
+  FleetOptions options;
+  options.instances = 32;
+  Begin(options);
   std::vector<size_t> watchers;
   for (size_t i = 0; i < fleet_->size(); ++i) {
     if (fleet_->node(i).view(fleet_->now()).watching) watchers.push_back(i);
@@ -176,6 +215,40 @@
   }
 }
 
+// A new instance has part of the state from a peer that was one change ahead
+// of all others, and that peer dies while the store is down. The others can
+// never complete what it sent; waiting for that, the new instance would not be
+// ready before the store returns.
+TEST_F(Outage, APartFromADeadPeerIsGivenUp) {
+  FleetOptions options;
+  options.node.block_bytes = 1000;
+  Begin(options);
+  PublishMany(40, std::string(500, 'x'));
+  fleet_->Run(2s);
+  for (size_t i = 0; i < fleet_->size(); ++i) {
+    if (i != 4) fleet_->Cut(4, i);
+    if (i != 4) fleet_->CutFromStore(i);
+  }
+  fleet_->Publish(4, ChangeOf("ahead", "group/g", 0, "ahead"), 1s);
+  fleet_->Run(1s);
+  ASSERT_EQ(fleet_->node(4).revision(), 41U);
+  fleet_->platform.down = true;
+  fleet_->Heal();
+  fleet_->Kill(3);
+  for (size_t i = 0; i < fleet_->size(); ++i) {
+    if (i != 3 && i != 4) fleet_->Cut(3, i);
+    if (i != 3 && i != 4) fleet_->Cut(4, i);
+  }
+  fleet_->Start(3);
+  fleet_->Run(60ms);
+  EXPECT_EQ(fleet_->node(3).revision(), 0U);
+  fleet_->Kill(4);
+  fleet_->Heal();
+  EXPECT_TRUE(fleet_->RunUntil(
+      [&] { return fleet_->node(3).ready(fleet_->now()); }, 10s));
+  EXPECT_EQ(fleet_->node(3).revision(), 40U);
+}
+
 // Old changes are cleared from the store, an instance starts, and no peer
 // answers it. It reads the snapshot; and one that is far behind and publishes
 // must never write a change at a place that had been used before.
@@ -230,6 +303,8 @@
   }
   const auto tag = fleet_->Publish(5, ChangeOf("late", "group/g", 0, "late"));
   ASSERT_TRUE(fleet_->RunUntilAnswered(tag));
+  EXPECT_TRUE(fleet_->RunUntil(
+      [&] { return fleet_->node(5).revision() == head(); }, 15s));
   fleet_->Heal();
   fleet_->Run(5s);
   size_t found = 0;
--- a/testsuite/membership_keepers/keepers_test.cc
+++ b/testsuite/membership_keepers/keepers_test.cc
@@ -11,7 +11,7 @@
 namespace ryefold::testing::control {
 namespace {
 
-constexpr size_t kGroups = 6;
+constexpr size_t kGroups = 12;
 
 class Keepers : public ::testing::Test {
  protected:
@@ -97,12 +97,12 @@
   Begin();
   size_t moves = 0;
   fleet_->on_duty = [&](size_t, const std::string&, bool) { ++moves; };
-  for (int round = 0; round < 10; ++round) {
+  for (int round = 0; round < 20; ++round) {
     const size_t keeper = KeeperOf("g0");
     fleet_->Freeze(keeper);
-    fleet_->Run(700ms);
+    fleet_->Run(1000ms);
     fleet_->Thaw(keeper);
-    fleet_->Run(3s);
+    fleet_->Run(3130ms);
   }
   EXPECT_EQ(moves, 0U);
 }
@@ -121,6 +121,78 @@
   }
 }
 
+// The same without a request that would wake anybody: the second watcher finds
+// out by itself, unless the third in rank is lost as well.
+TEST_F(Keepers, SecondWatcherNoticesALostFailureDomain) {
+  Begin();
+  size_t both = 0;
+  for (size_t domain = 0; domain < 3; ++domain) {
+    std::vector<std::string> watched;
+    for (const std::string& group : groups_) {
+      const bool first = Intended(group, 0) % 3 == domain;
+      const bool second = Intended(group, 1) % 3 == domain;
+      if (first && second) ++both;
+      if (Intended(group, 2) % 3 != domain) watched.push_back(group);
+    }
+    for (size_t i = domain; i < fleet_->size(); i += 3) fleet_->Kill(i);
+    for (const std::string& group : watched) {
+      EXPECT_TRUE(fleet_->RunUntil(
+          [&] { return !fleet_->KeepersOf(group).empty(); }, 3s));
+    }
+    for (size_t i = domain; i < fleet_->size(); i += 3) fleet_->Start(i);
+    fleet_->Run(10s);
+  }
+  EXPECT_GT(both, 0U);
+}
+
+// The first three in rank die at once and the list goes on naming them. The
+// fourth does not watch any of them; an entry's request makes it look.
+TEST_F(Keepers, FourthInRankServesWhenThreeAreLost) {
+  FleetOptions options;
+  options.instances = 12;
+  Begin(options);
+  std::vector<size_t> lost;
+  for (size_t place = 0; place < 3; ++place) {
+    lost.push_back(Intended("g0", place));
+  }
+  for (const size_t i : lost) fleet_->Kill(i);
+  RunTraffic(20s);
+  EXPECT_EQ(traffic_->refused, 0U);
+  EXPECT_LE(traffic_->worst, 1200ms);
+}
+
+// A new instance comes first in rank for some groups and needs a while to
+// learn what is in force. Those that kept the groups go on until it serves
+// them; giving up at once, they would leave the groups to nobody.
+TEST_F(Keepers, NewInstanceTakesOverOnlyOnceItServes) {
+  Begin();
+  const size_t keeper = Intended("g0", 0);
+  fleet_->Leave(keeper);
+  fleet_->Run(1s);
+  fleet_->Kill(keeper);
+  fleet_->Run(2s);
+  fleet_->groups_from = fleet_->now() + 10s;
+  fleet_->Start(keeper);
+  for (int i = 0; i < 100; ++i) {
+    fleet_->Run(100ms);
+    EXPECT_FALSE(fleet_->KeepersOf("g0").empty());
+  }
+  EXPECT_TRUE(fleet_->RunUntil(
+      [&] { return fleet_->KeepersOf("g0") == std::vector<size_t>{keeper}; },
+      10s));
+}
+
+// A leaving instance is asked by an entry that has not heard of it. Taking the
+// group again, it would take on requests that its end cuts off.
+TEST_F(Keepers, LeavingInstanceKeepsNothingAnyMore) {
+  Begin();
+  const size_t keeper = KeeperOf("g0");
+  fleet_->Leave(keeper);
+  EXPECT_TRUE(fleet_->at(keeper).duties->kept().empty());
+  EXPECT_FALSE(fleet_->Ask(keeper, "g0"));
+  EXPECT_TRUE(fleet_->RunUntil([this] { return OneEach(); }, 1s));
+}
+
 // The list is minutes behind: dead instances stay on it, new ones are missing.
 TEST_F(Keepers, LaggingListRefusesNothing) {
   Begin();
--- a/testsuite/support/control/fleet.h
+++ b/testsuite/support/control/fleet.h
@@ -133,9 +133,12 @@
   void SetGroups(const std::vector<std::string>& groups) {
     groups_ = groups;
     for (size_t i = 0; i < boxes_.size(); ++i) {
-      if (at(i).alive) Duty(i, mem::GroupsChanged{groups_});
+      if (at(i).alive) LearnGroups(i);
     }
   }
+  /// Instances started meanwhile learn their groups at this time at the
+  /// earliest.
+  TimePoint groups_from;
   /// An entry's request for the group reaches instance `i`.
   bool Ask(size_t i, const std::string& group) {
     std::vector<mem::DutyAction> actions;
@@ -306,6 +309,7 @@
   void Carry(size_t from, size_t to, const cfg::PeerRequest& request,
              TimePoint deadline, PeerReply reply);
   void Check(size_t i);
+  void LearnGroups(size_t i);
 
   FleetOptions options_;
   std::mt19937_64 random_;
@@ -359,7 +363,16 @@
   box.roster = std::make_unique<mem::Roster>();
   box.duties = std::make_unique<mem::Duties>(box.name, box.roster.get());
   Deliver(i, cfg::Started{});
-  Duty(i, mem::GroupsChanged{groups_});
+  LearnGroups(i);
+}
+
+/// An instance knows its groups once it knows what is in force.
+inline void Fleet::LearnGroups(size_t i) {
+  if (node(i).ready(now_) && now_ >= groups_from) {
+    Duty(i, mem::GroupsChanged{groups_});
+  } else {
+    At(i, 20ms, [this, i] { LearnGroups(i); });
+  }
 }
 
 inline void Fleet::Do(size_t i, const cfg::StoreCall& action) {
