--- a/src/libwire/caller_codec.cc
+++ b/src/libwire/caller_codec.cc
@@ -101,7 +101,7 @@
   request.step = step;
   Document document("request", body, /*comments=*/false);
   Reader reader(&document, findings);
-  request.group = RequiredName(&reader, "group");
+  request.group = OptionalName(&reader, "group");
   request.workspace = RequiredName(&reader, "workspace");
   request.request_id = OptionalName(&reader, "request_id");
   request.deadline =
--- a/src/ryefoldd/group_host.cc
+++ b/src/ryefoldd/group_host.cc
@@ -59,8 +59,8 @@
       link_(loop, control,
             [this](const core::group::Event& event) { Drive(event); }),
       keeper_(GroupOf(catalog, group), WorkspacesOf(catalog, group),
-              identity.instance, identity.failure_domain,
-              core::group::KeeperTiming{}, identity.seed) {
+              identity.instance, identity.failure_domain, identity.timing,
+              identity.seed) {
   Apply(catalog);
 }
 
--- a/src/ryefoldd/group_host.h
+++ b/src/ryefoldd/group_host.h
@@ -25,6 +25,7 @@
   struct Identity {
     std::string instance;
     std::string failure_domain;
+    core::group::KeeperTiming timing;
     uint64_t seed = 0;
   };
 
--- a/src/ryefoldd/keeper_task.cc
+++ b/src/ryefoldd/keeper_task.cc
@@ -136,9 +136,9 @@
   if (found != hosts_.end()) return found->second.get();
   if (draining_ || !catalog_ || catalog_->groups.count(group) == 0)
     return nullptr;
-  const GroupHost::Identity identity{wiring_->settings.name,
-                                     wiring_->settings.failure_domain,
-                                     std::random_device()()};
+  const GroupHost::Identity identity{
+      wiring_->settings.name, wiring_->settings.failure_domain,
+      wiring_->settings.keeper, std::random_device()()};
   auto host = std::make_unique<GroupHost>(
       loop_, control_.get(), &wiring_->metrics, identity, *catalog_, group);
   LOG(INFO) << "event=keeper_started group=" << group;
