--- /dev/null
+++ b/testsuite/support/control/meter.h
@@ -0,0 +1,103 @@
+#pragma once
+
+// Counts what the control part of a fleet sends: messages and bytes between
+// instances, encoded as on the wire, and calls to the store.
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <vector>
+
+#include "ryefold/wire/exchange_codec.h"
+#include "testsuite/support/control/fleet.h"
+
+namespace ryefold::testing::control {
+
+/// Allowance for each message beside its msgpack body: HTTP/2 frame headers of
+/// HEADERS and DATA (18), header fields from the table after the first call
+/// (10), IP and TCP headers with timestamps (52), and the bare acknowledgement
+/// that goes back for it (52), rounded up.
+constexpr uint64_t kFraming = 140;
+
+class Meter {
+ public:
+  explicit Meter(Fleet* fleet)
+      : fleet_(fleet), messages_(fleet->size()), bytes_(fleet->size()) {
+    fleet_->wire = [this](size_t from, size_t to,
+                          const cfg::PeerRequest* request,
+                          const cfg::PeerAnswer* answer) {
+      const uint64_t size = request != nullptr
+                                ? wire::WritePeerRequest(*request).size()
+                                : wire::WritePeerAnswer(*answer).size();
+      Count(from, size);
+      Count(to, size);
+    };
+    Reset();
+  }
+  ~Meter() { fleet_->wire = nullptr; }
+  Meter(const Meter&) = delete;
+  Meter& operator=(const Meter&) = delete;
+
+  void Reset() {
+    std::fill(messages_.begin(), messages_.end(), 0);
+    std::fill(bytes_.begin(), bytes_.end(), 0);
+    begin_ = fleet_->now();
+    store_begin_ = fleet_->platform.calls;
+  }
+  double seconds() const {
+    return std::chrono::duration<double>(fleet_->now() - begin_).count();
+  }
+  /// Sent and received together, for each instance and second.
+  double messages() const { return Mean(messages_) / seconds(); }
+  double bytes() const { return Mean(bytes_) / seconds(); }
+  /// The busiest instance.
+  double worst_bytes() const { return Most(bytes_) / seconds(); }
+  /// Of the whole fleet.
+  double store_calls() const {
+    return static_cast<double>(fleet_->platform.calls - store_begin_) /
+           seconds();
+  }
+
+ private:
+  void Count(size_t i, uint64_t size) {
+    ++messages_[i];
+    bytes_[i] += size + kFraming;
+  }
+  static double Mean(const std::vector<uint64_t>& counts) {
+    uint64_t sum = 0;
+    for (const uint64_t count : counts) sum += count;
+    return static_cast<double>(sum) / static_cast<double>(counts.size());
+  }
+  static double Most(const std::vector<uint64_t>& counts) {
+    return static_cast<double>(*std::max_element(counts.begin(), counts.end()));
+  }
+
+  Fleet* fleet_;
+  std::vector<uint64_t> messages_;
+  std::vector<uint64_t> bytes_;
+  TimePoint begin_;
+  uint64_t store_begin_ = 0;
+};
+
+/// A fleet in the target's proportions: 1,100 instances before 533 groups of
+/// three databases, in five failure domains of two regions.
+inline FleetOptions TargetProportions(size_t instances) {
+  constexpr size_t kTargetInstances = 1100;
+  constexpr size_t kTargetGroups = 533;
+  FleetOptions options;
+  options.instances = instances;
+  options.domains = 5;
+  options.regions = 2;
+  options.groups =
+      std::max<size_t>(3, instances * kTargetGroups / kTargetInstances);
+  options.check = false;
+  return options;
+}
+
+inline std::vector<std::string> GroupNames(size_t count) {
+  std::vector<std::string> names;
+  for (size_t g = 0; g < count; ++g) names.push_back("g" + std::to_string(g));
+  return names;
+}
+
+}  // namespace ryefold::testing::control
