Callers may leave out the group

The codec test asked for a finding on a missing group; it now asks for one on a group of a wrong type, with its place, so it checks as much as before.

--- a/testsuite/wire_codec/wire_codec_test.cc
+++ b/testsuite/wire_codec/wire_codec_test.cc
@@ -394,13 +394,13 @@
                                        "{\"workspace\": 7,\n"
                                        "  \"sql\": \"\", \"kind\": \"wrote\",\n"
                                        "  \"params\": {}, \"deadline_ms\": 0,\n"
-                                       "  \"sesion\": \"\"}");
+                                       "  \"sesion\": \"\", \"group\": 5}");
   std::vector<std::string> texts;
   for (const Finding& finding : findings) texts.push_back(ToText(finding));
   EXPECT_EQ(
       texts,
       (std::vector<std::string>{
-          "request:1:1: group: is missing (allowed: a string)",
+          "request:4:26: group: is a number (allowed: a string)",
           "request:1:15: workspace: is a number (allowed: a string)",
           "request:3:32: deadline_ms: is out of range "
           "(allowed: an integer from 1 to 60000)",
