--- a/testsuite/standin_database/fixture.h
+++ b/testsuite/standin_database/fixture.h
@@ -55,10 +55,18 @@
     return database->Execute(now_, session, call);
   }
 
+  /// Nothing when the call has to wait for the writer.
+  std::optional<core::ExecuteStatus> StatusOf(Database* database,
+                                              SessionId session,
+                                              const core::ExecuteCall& call) {
+    const auto answer = Run(database, session, call);
+    if (!answer) return std::nullopt;
+    return answer->status;
+  }
+
   bool Write(Database* database, std::string id, std::string sql) {
     const auto call = WriteCall(*database, std::move(id), std::move(sql));
-    const auto answer = Run(database, kFirst, call);
-    return answer && answer->status == core::ExecuteStatus::kOk;
+    return StatusOf(database, kFirst, call) == core::ExecuteStatus::kOk;
   }
 
   bool Insert(Database* database, const std::string& id) {
--- a/testsuite/standin_database/statement_test.cc
+++ b/testsuite/standin_database/statement_test.cc
@@ -52,13 +52,13 @@
   EXPECT_EQ(fence.status, SettleStatus::kFenced);
   EXPECT_EQ(fence.position, a_.status().last);
   auto call = WriteCall(a_, "late", "INSERT INTO t VALUES (1, 'late')");
-  EXPECT_EQ(Run(&a_, kFirst, call)->status, ExecuteStatus::kFenced);
+  EXPECT_EQ(StatusOf(&a_, kFirst, call), ExecuteStatus::kFenced);
   call.record = false;
-  EXPECT_EQ(Run(&a_, kFirst, call)->status, ExecuteStatus::kFenced);
+  EXPECT_EQ(StatusOf(&a_, kFirst, call), ExecuteStatus::kFenced);
   Pull(&a_, &b_);
   Promote(2, &b_, &c_);
   call.term = 2;
-  EXPECT_EQ(Run(&b_, kFirst, call)->status, ExecuteStatus::kFenced);
+  EXPECT_EQ(StatusOf(&b_, kFirst, call), ExecuteStatus::kFenced);
   EXPECT_EQ(a_.Settle(now_, {1, "late", "gates"}).position, fence.position);
 }
 
@@ -81,7 +81,7 @@
   a_.NoteReceived(kFirst, call);
   EXPECT_EQ(a_.Settle(now_, {1, "slow", "gates"}).status,
             SettleStatus::kInProgress);
-  ASSERT_EQ(Run(&a_, kFirst, call)->status, ExecuteStatus::kOk);
+  ASSERT_EQ(StatusOf(&a_, kFirst, call), ExecuteStatus::kOk);
   a_.NoteAnswered(kFirst);
   EXPECT_EQ(a_.Settle(now_, {1, "slow", "gates"}).status, SettleStatus::kDone);
 }
@@ -106,7 +106,7 @@
   }
   auto read = WriteCall(a_, "x", "DELETE FROM t");
   read.kind = core::StatementKind::kRead;
-  EXPECT_EQ(Run(&a_, kFirst, read)->status, ExecuteStatus::kSqlError);
+  EXPECT_EQ(StatusOf(&a_, kFirst, read), ExecuteStatus::kSqlError);
 }
 
 // Two transactions of two callers are open at once. A read that saw rows of the
@@ -149,7 +149,7 @@
   EXPECT_EQ(freed, 0);
   Run(&a_, kFirst, StepCall(a_, Step::kCommit, "commit"));
   EXPECT_EQ(freed, 1);
-  EXPECT_EQ(Run(&a_, kSecond, other)->status, ExecuteStatus::kOk);
+  EXPECT_EQ(StatusOf(&a_, kSecond, other), ExecuteStatus::kOk);
 }
 
 // The keeper dies in the middle of a transaction and its connection closes.
@@ -162,7 +162,7 @@
   a_.Close(kFirst);
   EXPECT_EQ(Rows(&a_, kSecond), before);
   const auto other = WriteCall(a_, "other", "INSERT INTO t VALUES (2, 'o')");
-  EXPECT_EQ(Run(&a_, kSecond, other)->status, ExecuteStatus::kOk);
+  EXPECT_EQ(StatusOf(&a_, kSecond, other), ExecuteStatus::kOk);
 }
 
 // A primary is replaced while a transaction is open on it, and later promoted
@@ -175,8 +175,8 @@
   ASSERT_TRUE(a_.Promote(now_, {2, "keeper"}).accepted);
   const core::LogPosition before = a_.status().last;
   const auto rest = WriteCall(a_, "rest", "INSERT INTO t VALUES (1, 'rest')");
-  EXPECT_EQ(Run(&a_, kFirst, rest)->status, ExecuteStatus::kBadCall);
-  EXPECT_EQ(Run(&a_, kFirst, StepCall(a_, Step::kCommit, "end"))->status,
+  EXPECT_EQ(StatusOf(&a_, kFirst, rest), ExecuteStatus::kBadCall);
+  EXPECT_EQ(StatusOf(&a_, kFirst, StepCall(a_, Step::kCommit, "end")),
             ExecuteStatus::kBadCall);
   EXPECT_EQ(a_.status().last, before);
   EXPECT_EQ(Rows(&a_).find("half"), std::string::npos);
@@ -185,14 +185,14 @@
 TEST_F(Group, ParametersAreBoundByType) {
   auto call = WriteCall(a_, "types", "INSERT INTO t VALUES (?, ?)");
   call.params_json = R"([2.5, "it's \"quoted\" \u00e9\n"])";
-  ASSERT_EQ(Run(&a_, kFirst, call)->status, ExecuteStatus::kOk);
+  ASSERT_EQ(StatusOf(&a_, kFirst, call), ExecuteStatus::kOk);
   auto read = Call(1, core::StatementKind::kRead, "", "SELECT id, n FROM t");
   EXPECT_EQ(Run(&a_, kFirst, read)->result_json,
             "{\"columns\":[\"id\",\"n\"],\"rows\":[[2.5,"
             "\"it's \\\"quoted\\\" \xc3\xa9\\u000a\"]],\"changes\":0}");
   call.params_json = "[1]";
   call.request_id = "few";
-  EXPECT_EQ(Run(&a_, kFirst, call)->status, ExecuteStatus::kSqlError);
+  EXPECT_EQ(StatusOf(&a_, kFirst, call), ExecuteStatus::kSqlError);
 }
 
 }  // namespace
--- a/testsuite/standin_database/term_test.cc
+++ b/testsuite/standin_database/term_test.cc
@@ -71,8 +71,8 @@
   read.sql = "SELECT 1";
   const core::LogPosition before = a_.status().last;
   ASSERT_TRUE(a_.Adopt({2, "keeper"}).accepted);
-  EXPECT_EQ(Run(&a_, kFirst, write)->status, ExecuteStatus::kStaleTerm);
-  EXPECT_EQ(Run(&a_, kFirst, read)->status, ExecuteStatus::kStaleTerm);
+  EXPECT_EQ(StatusOf(&a_, kFirst, write), ExecuteStatus::kStaleTerm);
+  EXPECT_EQ(StatusOf(&a_, kFirst, read), ExecuteStatus::kStaleTerm);
   EXPECT_EQ(a_.status().last, before);
   EXPECT_EQ(a_.status().role, DatabaseRole::kReplica);
 }
@@ -83,9 +83,9 @@
 TEST_F(Group, APrimaryWritesOnlyUnderItsOwnTerm) {
   auto call = WriteCall(a_, "new", "INSERT INTO t VALUES (1, 'x')");
   call.term = 2;
-  EXPECT_EQ(Run(&a_, kFirst, call)->status, ExecuteStatus::kNotPrimary);
+  EXPECT_EQ(StatusOf(&a_, kFirst, call), ExecuteStatus::kNotPrimary);
   call.term = 1;
-  EXPECT_EQ(Run(&b_, kFirst, call)->status, ExecuteStatus::kNotPrimary);
+  EXPECT_EQ(StatusOf(&b_, kFirst, call), ExecuteStatus::kNotPrimary);
 }
 
 TEST_F(Group, LogShippingOfAnotherTermIsRefusedByBothSides) {
