--- a/src/libcore/configuration/context.cc
+++ b/src/libcore/configuration/context.cc
@@ -13,6 +13,10 @@
 using membership::MemberState;
 
 constexpr std::chrono::seconds kAvoid{2};
+/// Changes of members within this time are applied together: when a region or
+/// the whole fleet restarts, hundreds of notices arrive in a second, and each
+/// time all groups' orders are worked out anew.
+constexpr std::chrono::milliseconds kMembersInterval{100};
 
 uint64_t Hash(const std::string& a, const std::string& b) {
   const std::string joined = a + '\n' + b;
@@ -70,9 +74,7 @@
   if (found == peer_calls_.end()) return;
   const PeerPending pending = std::move(found->second);
   peer_calls_.erase(found);
-  if (answer != nullptr) {
-    peer_heard = now;
-  } else {
+  if (answer == nullptr) {
     ++counters.peer_failures;
     if (!pending.name.empty()) peers[pending.name].avoid_until = now + kAvoid;
   }
@@ -85,7 +87,10 @@
   Emit(DocumentsChanged{documents.revision(), keys});
 }
 
-void Context::MembersApplied() {
+void Context::ApplyMembers(TimePoint now) {
+  if (apply_members_at_ > now) return;
+  apply_members_at_ = TimePoint::max();
+  members_applied_ = now;
   merged = members.merged();
   others_.clear();
   store_rank_ = 0;
@@ -106,6 +111,14 @@
   Emit(MembersChanged{});
 }
 
+void Context::MembersTouched(TimePoint now) {
+  // The first list is applied at once: nothing works without it.
+  const bool first = !list_applied_ && members.version() > 0;
+  list_applied_ = list_applied_ || first;
+  const TimePoint due = first ? now : members_applied_ + kMembersInterval;
+  apply_members_at_ = std::min(apply_members_at_, std::max(now, due));
+}
+
 void Context::ChooseNeighbours() {
   std::vector<std::pair<uint64_t, std::string>> scored;
   scored.reserve(others_.size());
@@ -134,6 +147,7 @@
   Standing standing;
   standing.revision = documents.revision();
   standing.list_version = members.version();
+  standing.known = documents.known();
   standing.ready = Ready(now);
   standing.store_age =
       std::chrono::duration_cast<std::chrono::milliseconds>(now - store_seen);
@@ -143,7 +157,11 @@
 
 void Context::Heard(TimePoint now, const std::string& name,
                     const Standing& standing) {
-  peer_heard = now;
+  // A new instance knows nothing itself: two that are cut off from all others,
+  // one old and one new, must not take each other for the fleet. Those that
+  // know something count even when not ready, or a fleet that had lost touch
+  // for a moment during an outage of the store would never be ready again.
+  if (standing.known) peer_heard = now;
   store_seen = std::max(store_seen, now - standing.store_age);
   if (!name.empty()) peers[name].revision = standing.revision;
   // A peer that does not know what is in force itself can't vouch for an
