--- a/testsuite/interface_docs/run.sh
+++ b/testsuite/interface_docs/run.sh
@@ -33,7 +33,7 @@
   exit 1
 fi
 # The read through the other instance shows the write.
-jq -e 'select(.rows == [["A. Mason","2029-01-31"]])' "$TMP/lines" >/dev/null || {
+jq -s -e 'any(.[]; .rows == [["A. Mason","2029-01-31"]])' "$TMP/lines" >/dev/null || {
   echo "the other instance did not show the write"
   cat "$TMP/lines"
   exit 1
