--- a/testsuite/process_path/run.sh
+++ b/testsuite/process_path/run.sh
@@ -51,7 +51,7 @@
 check "ran once" "$(logged $GROUP-a | grep -c '^renew-again$')" 1
 
 # One transaction through three instances.
-begun=$(ask instance-1 $W '{}' /v1/transaction/begin)
+begun=$(ask instance-1 $W '{"deadline_ms":5000}' /v1/transaction/begin)
 transaction=$(jq -r .transaction <<<"$begun")
 answer=$(ask instance-2 $W "{\"kind\":\"write\",\"transaction\":\"$transaction\",
   \"sql\":\"UPDATE cards SET holder = 'B. Mason' WHERE id = 1\"}")
@@ -63,7 +63,7 @@
 session=$(jq -r .session <<<"$answer")
 answer=$(ask instance-1 $W "{\"session\":\"$session\",\"sql\":\"SELECT holder FROM cards WHERE id = 1\"}")
 check "seen after the commit" "$(rows "$answer")" '[["B. Mason"]]'
-begun=$(ask instance-2 $W '{}' /v1/transaction/begin)
+begun=$(ask instance-2 $W '{"deadline_ms":5000}' /v1/transaction/begin)
 transaction=$(jq -r .transaction <<<"$begun")
 ask instance-3 $W "{\"kind\":\"write\",\"transaction\":\"$transaction\",\"sql\":\"DELETE FROM cards\"}" >/dev/null
 answer=$(ask instance-1 $W "{\"transaction\":\"$transaction\"}" /v1/transaction/rollback)
