--- a/scripts/local_stack.sh
+++ b/scripts/local_stack.sh
@@ -72,6 +72,7 @@
 readonly GROUPS_PER_PROFILE=3
 readonly TEMPLATES=(gold silver bronze)
 readonly SLOTS=3
+declare -A callers peers  # addresses of the instances by number
 
 # ---- processes ----
 
@@ -195,29 +196,48 @@
   done
 }
 
+# Every instance is told the peer addresses of all others, so that one that
+# starts while the platform is down finds somebody to ask. They are chosen
+# before the first one starts.
+choose_addresses() {
+  local number
+  for ((number = 1; number <= instances; ++number)); do
+    choose_address "$number"
+  done
+}
+choose_address() {
+  callers[$1]="127.0.0.1:$(random_port)"
+  peers[$1]="127.0.0.1:$(random_port)"
+}
+
 start_instance() {
-  local name="$1" domain="$2" attempt
+  local number="$1" attempt name="instance-$1"
   for ((attempt = 0; attempt < ATTEMPTS; ++attempt)); do
-    try_instance "$name" "$domain" && return 0
-    grep -qi 'address already in use\|cannot listen' "$dir/$name.log" || break
+    try_instance "$number" && return 0
+    grep -qi 'in use\|cannot listen\|bind' "$dir/$name.log" || break
+    choose_address "$number"
   done
   fail "$name does not start" "$dir/$name.log"
 }
 
 try_instance() {
-  local name="$1" domain="$2" callers peers
-  callers="127.0.0.1:$(random_port)"
-  peers="127.0.0.1:$(random_port)"
+  local number="$1" name="instance-$1" domain other seeds=()
+  domain="${domains[(number - 1) % 3]}"
+  for other in "${!peers[@]}"; do
+    [ "$other" = "$number" ] || seeds+=("${peers[other]}")
+  done
   jq -n --arg name "$name" --arg domain "$domain" --arg region "$region" \
-    --arg callers "$callers" --arg peers "$peers" --arg platform "$platform" \
-    --arg admin_key "$admin_key" \
+    --arg callers "${callers[number]}" --arg peers "${peers[number]}" \
+    --arg platform "$platform" --arg admin_key "$admin_key" \
     '{name: $name, failure_domain: $domain, region: $region,
       caller_address: $callers, peer_address: $peers, platform: [$platform],
-      admin_key: $admin_key}' >"$dir/$name.json"
+      seeds: $ARGS.positional, admin_key: $admin_key}' \
+    --args "${seeds[@]}" >"$dir/$name.json"
   start "$name" "$dir/$name.log" "$build/ryefoldd" --settings "$dir/$name.json"
   listening "$started_pid" "$dir/$name.log" || return 1
-  record instance "$name" "$started_pid" "$callers"
-  register instance "$name" "$callers" "$domain" peer_address "$peers"
+  record instance "$name" "$started_pid" "${callers[number]}"
+  register instance "$name" "${callers[number]}" "$domain" \
+    peer_address "${peers[number]}"
 }
 
 # until_status CODE CURL_ARGS...: false when it does not come in time.
@@ -349,8 +369,9 @@
   for ((number = 1; number <= GROUPS_PER_PROFILE; ++number)); do
     start_group "$group_prefix-$number"
   done
+  choose_addresses
   for ((number = 1; number <= instances; ++number)); do
-    start_instance "instance-$number" "${domains[(number - 1) % 3]}"
+    start_instance "$number"
   done
   mapfile -t addresses < <(jq -r 'select(.kind == "instance") | .address' \
     "$dir/processes")
--- a/testsuite/process_drain/run.sh
+++ b/testsuite/process_drain/run.sh
@@ -10,10 +10,6 @@
 up --instances 3
 check "create" "$(ask instance-1 $W "$(write_fields create 'CREATE TABLE orders (id TEXT)')" | jq -r .outcome)" done
 
-ready() {
-  [ "$(curl -s -m 5 -o /dev/null -w '%{http_code}' "http://${addresses[$1]}/readyz")" = 200 ]
-}
-
 # caller NAME INSTANCE WORKSPACE: as `writer`, but a request goes to the
 # instance only while it is ready, else to the next.
 caller() {
--- /dev/null
+++ b/testsuite/process_operators/run.sh
@@ -0,0 +1,94 @@
+#!/usr/bin/env bash
+# Operators race one another, the platform loses an answer and then goes down,
+# and an instance is restarted while it is down.
+cd "$(dirname "$0")/../.."
+. testsuite/standins/process.sh
+
+readonly ROUNDS=5 KEY=template/gold W=tamworth-gates
+
+documents() { admin "$1" "/v1/admin/documents?prefix=$KEY" | head -n 1; }
+version_of() { documents "$1" | jq -r --arg key $KEY '.documents[$key].version'; }
+weight_of() { documents "$1" | jq -r --arg key $KEY '.documents[$key].text | fromjson | .weight'; }
+revision_of() { documents "$1" | jq -r .revision; }
+# change ID VERSION WEIGHT: body of a publish call for the template.
+change() {
+  documents instance-1 | jq -c --arg key $KEY --arg id "$1" \
+    --argjson version "$2" --argjson weight "$3" \
+    '{change_id: $id, author: $id, changes: [{key: $key, base_version: $version,
+      text: (.documents[$key].text | fromjson | .weight = $weight | tostring)}]}'
+}
+publish() { admin "$1" /v1/admin/publish "$2"; }
+code() { tail -n 1 <<<"$1"; }
+in_force_everywhere() {
+  local n
+  for n in 1 2 3; do
+    [ "$(weight_of "instance-$n")" = "$1" ] || return 1
+  done
+}
+
+up --instances 3
+eventually "first configuration everywhere" in_force_everywhere 4
+
+# Two operators edit the template from the same version through different
+# instances. One of them has to be told that it was changed under his hands, or
+# the other's change would be undone without a word.
+for round in $(seq $ROUNDS); do
+  seen=$(version_of instance-1)
+  publish instance-1 "$(change "first-$round" "$seen" $((10 + round)))" >"$work/first" &
+  first=$!
+  publish instance-2 "$(change "second-$round" "$seen" $((20 + round)))" >"$work/second" &
+  wait "$first" $!
+  codes="$(tail -n 1 "$work/first") $(tail -n 1 "$work/second")"
+  case "$codes" in
+    "200 409") winner=$((10 + round)) ;;
+    "409 200") winner=$((20 + round)) ;;
+    *) winner=none ;;
+  esac
+  check_that "round $round has one winner (got $codes)" test "$winner" != none
+  eventually "round $round: in force everywhere" in_force_everywhere "$winner"
+  check "round $round: one version more" "$(version_of instance-3)" $((seen + 1))
+done
+
+# The store makes the change and its answer is lost. Guessing "failed" would
+# make the operator publish twice; guessing "done" would be luck.
+before=$(revision_of instance-1)
+body=$(change lost "$(version_of instance-1)" 31)
+fault platform '{"lose_put_answers":1}'
+answer=$(publish instance-1 "$body")
+check "answer lost" "$(code "$answer")" 200
+eventually "in force after the lost answer" in_force_everywhere 31
+check "made once" "$(revision_of instance-1)" $((before + 1))
+answer=$(publish instance-2 "$body")
+check "the same change again" "$(code "$answer")" 200
+check "still made once" "$(revision_of instance-1)" $((before + 1))
+
+# The platform goes down. What is accepted stays in force, statements go on, a
+# restarted instance learns from its peers, and nobody is told "accepted".
+fault platform '{"down":true}'
+check "served with the platform down" \
+  "$(ask instance-1 $W '{"sql":"SELECT 1"}' | jq -r .outcome)" done
+kill -KILL "${pids[instance-3]}"
+start_again instance-3
+eventually "the restarted instance is ready" ready instance-3
+check "it knows the last change" "$(weight_of instance-3)" 31
+check "its revision" "$(revision_of instance-3)" "$(revision_of instance-1)"
+served() { [ "$(ask instance-3 $W '{"sql":"SELECT 1"}' | jq -r .outcome)" = done ]; }
+eventually "it serves" served
+answer=$(publish instance-2 "$(change during "$(version_of instance-1)" 41)")
+during=$(code "$answer")
+check_that "publish during the outage ($during)" test "$during" = 503 -o "$during" = 504
+
+# Back again: what was refused for good never shows, the next change works, and
+# no revision went back on the way.
+low=$(revision_of instance-1)
+fault platform '{"down":false}'
+accepted() {
+  [ "$(code "$(publish instance-1 "$(change after "$(version_of instance-1)" 51)")")" = 200 ]
+}
+eventually "publish after the outage" accepted
+eventually "in force after the outage" in_force_everywhere 51
+check_that "revisions only rise" test "$(revision_of instance-3)" -gt "$low"
+check "no trace of a refused change" \
+  "$([ "$during" = 504 ] && echo 0 || admin instance-1 "/v1/admin/history?key=$KEY" |
+    head -n 1 | jq '[.entries[] | select(.change_id == "during")] | length')" 0
+passed
--- a/testsuite/standins/process.sh
+++ b/testsuite/standins/process.sh
@@ -89,6 +89,33 @@
   post "$1" /fault "$2" >/dev/null
 }
 
+# start_again INSTANCE: a new process in place of one that was killed.
+start_again() {
+  setsid "$BUILD/ryefoldd" --settings "$stack/$1.json" \
+    >>"$stack/$1.log" 2>&1 </dev/null &
+  pids[$1]=$!
+  disown
+  jq --arg name "$1" --argjson pid "${pids[$1]}" \
+    '(.processes[] | select(.name == $name)).pid = $pid' \
+    "$stack/stack.json" >"$work/stack.new"
+  mv "$work/stack.new" "$stack/stack.json"
+}
+
+# ready INSTANCE
+ready() {
+  [ "$(curl -s -m 5 -o /dev/null -w '%{http_code}' "http://${addresses[$1]}/readyz")" = 200 ]
+}
+
+# ---- operators ----
+
+# admin INSTANCE PATH [BODY]: an operator's call; prints the body, then the
+# status code on a line of its own.
+admin() {
+  curl -s -m 30 "http://${addresses[$1]}$2" \
+    -H "Authorization: Bearer $(cat "$stack/admin_key")" \
+    ${3:+-d "$3"} -w '\n%{http_code}\n' || echo
+}
+
 # ---- callers ----
 
 # ask INSTANCE WORKSPACE FIELDS [PATH]: one request of a caller; prints the
