--- a/src/include/ryefold/wire/peer.h
+++ b/src/include/ryefold/wire/peer.h
@@ -74,7 +74,7 @@
  public:
   using Done = std::function<void(const PeerResult&)>;
 
-  PeerClient(event_base* base, std::string address);
+  PeerClient(event_base* base, const std::string& address);
   ~PeerClient();
   PeerClient(const PeerClient&) = delete;
   PeerClient& operator=(const PeerClient&) = delete;
--- a/src/libwire/control_codec.cc
+++ b/src/libwire/control_codec.cc
@@ -125,6 +125,16 @@
   return out;
 }
 
+std::string WriteSettleAnswer(const core::SettleAnswer& answer) {
+  std::string out;
+  ObjectWriter writer(&out);
+  writer.String("status", kSettleStatuses[static_cast<size_t>(answer.status)]);
+  if (!answer.result_json.empty()) writer.Raw("result", answer.result_json);
+  WritePosition(&writer, "position", answer.position);
+  writer.Finish();
+  return out;
+}
+
 }  // namespace
 
 std::string_view PathOf(const core::ControlCall& call) {
@@ -206,32 +216,22 @@
 }
 
 std::string WriteControlAnswer(const core::ControlAnswer& answer) {
-  return std::visit(
-      Overloaded{[](std::monostate) { return std::string("{}"); },
-                 [](const core::DatabaseStatus& status) {
-                   std::string out;
-                   WriteStatus(&out, status);
-                   return out;
-                 },
-                 [](const core::AdoptAnswer& a) {
-                   return WriteAccepted(a.accepted, a.status);
-                 },
-                 [](const core::RoleAnswer& a) {
-                   return WriteAccepted(a.accepted, a.status);
-                 },
-                 [](const core::SettleAnswer& a) {
-                   std::string out;
-                   ObjectWriter writer(&out);
-                   writer.String(
-                       "status",
-                       kSettleStatuses[static_cast<size_t>(a.status)]);
-                   if (!a.result_json.empty())
-                     writer.Raw("result", a.result_json);
-                   WritePosition(&writer, "position", a.position);
-                   writer.Finish();
-                   return out;
-                 }},
-      answer);
+  return std::visit(Overloaded{[](std::monostate) { return std::string("{}"); },
+                               [](const core::DatabaseStatus& status) {
+                                 std::string out;
+                                 WriteStatus(&out, status);
+                                 return out;
+                               },
+                               [](const core::AdoptAnswer& a) {
+                                 return WriteAccepted(a.accepted, a.status);
+                               },
+                               [](const core::RoleAnswer& a) {
+                                 return WriteAccepted(a.accepted, a.status);
+                               },
+                               [](const core::SettleAnswer& a) {
+                                 return WriteSettleAnswer(a);
+                               }},
+                    answer);
 }
 
 core::ControlAnswer ReadControlAnswer(const core::ControlCall& call,
--- a/src/libwire/document.cc
+++ b/src/libwire/document.cc
@@ -43,7 +43,8 @@
       source, 0, 0, std::move(path), std::move(problem), std::move(allowed)};
   if (value == nullptr) return finding;
   const auto offset = static_cast<size_t>(value->getOffsetStart());
-  const std::string_view before = std::string_view(text).substr(0, offset);
+  const std::string_view whole = text;
+  const std::string_view before = whole.substr(0, offset);
   const size_t line_start = before.rfind('\n');
   finding.line =
       1 + static_cast<int>(std::count(before.begin(), before.end(), '\n'));
--- a/src/libwire/http2_link.cc
+++ b/src/libwire/http2_link.cc
@@ -10,7 +10,6 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
-#include <cstring>
 #include <utility>
 
 #include "net.h"
@@ -67,7 +66,7 @@
                  uint32_t* flags, nghttp2_data_source* source, void*) {
   auto* body = static_cast<OutgoingBody*>(source->ptr);
   const size_t count = std::min(room, body->text.size() - body->sent);
-  std::memcpy(out, body->text.data() + body->sent, count);
+  std::copy_n(body->text.data() + body->sent, count, out);
   body->sent += count;
   if (body->sent == body->text.size()) *flags |= NGHTTP2_DATA_FLAG_EOF;
   return static_cast<ssize_t>(count);
--- a/src/libwire/peer_client.cc
+++ b/src/libwire/peer_client.cc
@@ -368,7 +368,7 @@
   client_->Drained(this);
 }
 
-PeerClient::PeerClient(event_base* base, std::string address)
+PeerClient::PeerClient(event_base* base, const std::string& address)
     : impl_(std::make_shared<Impl>(base, address)) {}
 PeerClient::~PeerClient() { impl_->Close(); }
 
--- a/testsuite/support/wire/raw_socket.h
+++ b/testsuite/support/wire/raw_socket.h
@@ -97,7 +97,7 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof(address);
-    bind(fd_, reinterpret_cast<sockaddr*>(&address), size);
+    if (bind(fd_, reinterpret_cast<sockaddr*>(&address), size) != 0) return;
     listen(fd_, 8);
     getsockname(fd_, reinterpret_cast<sockaddr*>(&address), &size);
     port_ = ntohs(address.sin_port);
--- a/testsuite/task_supervisor/task_supervisor_test.cc
+++ b/testsuite/task_supervisor/task_supervisor_test.cc
@@ -58,7 +58,7 @@
 };
 
 Supervisor::Factory Scripted(const std::string& name, Journal* journal,
-                             std::function<void(Loop*)> start = {}) {
+                             const std::function<void(Loop*)>& start = {}) {
   return [=] { return std::make_unique<ScriptedTask>(name, journal, start); };
 }
 
--- a/testsuite/wire_codec/wire_codec_test.cc
+++ b/testsuite/wire_codec/wire_codec_test.cc
@@ -18,7 +18,7 @@
 using core::StatementRequest;
 using std::chrono::milliseconds;
 
-const core::TimePoint kNow{std::chrono::hours(5)};
+constexpr core::TimePoint kNow{std::chrono::hours(5)};
 
 core::LogPosition AnyPosition() {
   return {*rc::gen::arbitrary<uint64_t>(), *rc::gen::arbitrary<uint64_t>()};
@@ -395,22 +395,19 @@
                                        "  \"sql\": \"\", \"kind\": \"wrote\",\n"
                                        "  \"params\": {}, \"deadline_ms\": 0,\n"
                                        "  \"sesion\": \"\"}");
-  std::vector<std::string> texts;
-  for (const Finding& finding : findings) texts.push_back(ToText(finding));
-  EXPECT_EQ(
-      texts,
-      (std::vector<std::string>{
-          "request:1:1: group: is missing (allowed: a string)",
-          "request:1:15: workspace: is a number (allowed: a string)",
-          "request:3:32: deadline_ms: is out of range "
-          "(allowed: an integer from 1 to 60000)",
-          "request:2:10: sql: is empty (allowed: a string that is not empty)",
-          "request:3:13: params: is an object (allowed: an array)",
-          "request:2:22: kind: is none of the choices: \"wrote\" "
-          "(allowed: read, write)",
-          "request:4:13: sesion: is not known, did you mean \"session\"? "
-          "(allowed: group, workspace, request_id, deadline_ms, sql, params, "
-          "kind, repeatable, transaction, max_age_ms, session)"}));
+  std::string text;
+  for (const Finding& finding : findings) text += ToText(finding) + '\n';
+  EXPECT_EQ(text,
+            R"(request:1:1: group: is missing (allowed: a string)
+request:1:15: workspace: is a number (allowed: a string)
+request:3:32: deadline_ms: is out of range (allowed: an integer from 1 to 60000)
+request:2:10: sql: is empty (allowed: a string that is not empty)
+request:3:13: params: is an object (allowed: an array)
+request:2:22: kind: is none of the choices: "wrote" (allowed: read, write)
+request:4:13: sesion: is not known, did you mean "session"? )"
+            R"((allowed: group, workspace, request_id, deadline_ms, sql, )"
+            R"(params, kind, repeatable, transaction, max_age_ms, session)
+)");
 }
 
 TEST(CallerCodec, BrokenSyntaxIsFoundAtItsPlace) {
--- a/testsuite/wire_http/wire_http_test.cc
+++ b/testsuite/wire_http/wire_http_test.cc
@@ -100,7 +100,7 @@
 }
 
 TEST_F(HttpTest, AnswersOnOneConnectionInTurn) {
-  Listen([](HttpExchange exchange) {
+  Listen([](const HttpExchange& exchange) {
     exchange.Reply({200,
                     exchange.method() + exchange.path() + exchange.body(),
                     "application/json",
@@ -122,7 +122,7 @@
 }
 
 TEST_F(HttpTest, HandlerSeesHeadersAndQuery) {
-  Listen([](HttpExchange exchange) {
+  Listen([](const HttpExchange& exchange) {
     exchange.Reply({200,
                     exchange.header("authorization") + exchange.query("name") +
                         exchange.query("none") + exchange.header("none"),
@@ -163,7 +163,7 @@
   limits.max_body = 1000;
   limits.max_headers = 2000;
   Listen(
-      [&](HttpExchange exchange) {
+      [&](const HttpExchange& exchange) {
         EXPECT_EQ(exchange.body(), "good");
         Echo(exchange);
       },
@@ -209,7 +209,7 @@
   HttpLimits limits;
   limits.receive_timeout = kShort;
   Listen(
-      [&](HttpExchange exchange) {
+      [&](const HttpExchange& exchange) {
         loop_.At(Clock::now() + 4 * kShort, [=] { Echo(exchange); });
       },
       limits);
@@ -250,7 +250,7 @@
 // the server would go on to run it for nobody.
 TEST_F(HttpTest, ClientGoneBeforeTheAnswerIsNoticed) {
   bool gone = false;
-  Listen([&](HttpExchange exchange) {
+  Listen([&](const HttpExchange& exchange) {
     exchange.OnGone([&, exchange] {
       gone = true;
       Echo(exchange);  // does nothing
@@ -271,7 +271,7 @@
 
 TEST_F(HttpTest, AnswerMayOutliveTheServer) {
   std::vector<HttpExchange> held;
-  Listen([&](HttpExchange exchange) {
+  Listen([&](const HttpExchange& exchange) {
     exchange.OnGone([] { FAIL() << "told by a server that is gone"; });
     held.push_back(exchange);
     loop_.Stop();
@@ -290,7 +290,7 @@
 // order, so that its supervisor can start it anew, and the client must not be
 // left hanging.
 TEST_F(HttpTest, ExceptionInAHandlerReachesTheLoopsOwner) {
-  Listen([&](HttpExchange) { throw std::runtime_error("defect"); });
+  Listen([&](const HttpExchange&) { throw std::runtime_error("defect"); });
   std::string answer = "none";
   std::thread client([&] {
     const RawSocket socket = RawSocket::Connect(server_->port());
@@ -306,7 +306,7 @@
 // An instance stops in order. The request in progress is answered and the
 // client learns that it has to connect elsewhere.
 TEST_F(HttpTest, StoppingServerAnswersAndAsksToClose) {
-  Listen([&](HttpExchange exchange) {
+  Listen([&](const HttpExchange& exchange) {
     server_->StopAccepting();
     loop_.At(Clock::now() + kShort, [=] { Echo(exchange); });
   });
@@ -317,7 +317,9 @@
 }
 
 TEST_F(HttpTest, PipelinedRequestsAreAnsweredInOrder) {
-  Listen([&](HttpExchange exchange) { loop_.Post([=] { Echo(exchange); }); });
+  Listen([&](const HttpExchange& exchange) {
+    loop_.Post([=] { Echo(exchange); });
+  });
   const std::string post = "POST / HTTP/1.1\r\nContent-Length: 3\r\n";
   const std::string answer = Exchange(post + "\r\none" + post + "\r\ntwo" +
                                       post + "Connection: close\r\n\r\nend");
@@ -349,7 +351,7 @@
 // were used on, the next caller would be handed that answer as its own.
 TEST_F(HttpTest, LateAnswerReachesNobody) {
   std::vector<HttpExchange> held;
-  Listen([&](HttpExchange exchange) {
+  Listen([&](const HttpExchange& exchange) {
     if (held.empty()) return held.push_back(exchange);
     Echo(exchange);
   });
@@ -373,7 +375,7 @@
 
 TEST_F(HttpTest, DeadlineEndsTheConnectionForGood) {
   std::vector<HttpExchange> held;
-  Listen([&](HttpExchange exchange) { held.push_back(exchange); });
+  Listen([&](const HttpExchange& exchange) { held.push_back(exchange); });
   HttpResult got;
   HttpConnection connection(loop_.base(), address_, [&] { loop_.Stop(); });
   connection.Send("POST", "/", "x", Clock::now() + kShort,
--- a/testsuite/wire_peer/wire_peer_test.cc
+++ b/testsuite/wire_peer/wire_peer_test.cc
@@ -71,8 +71,8 @@
   constexpr size_t kCalls = 500;
   stop_after_ = kCalls;
   std::vector<PeerCall> held;
-  Listen([&](PeerCall call) {
-    held.push_back(std::move(call));
+  Listen([&](const PeerCall& call) {
+    held.push_back(call);
     if (held.size() < kCalls) return;
     for (auto late = held.rbegin(); late != held.rend(); ++late) {
       late->Reply("answer to " + late->body());
@@ -91,7 +91,7 @@
 
 TEST_F(PeerTest, LargeBodiesPassBothWaysBesideSmallOnes) {
   stop_after_ = 3;
-  Listen([](PeerCall call) { call.Reply(call.path() + call.body()); });
+  Listen([](const PeerCall& call) { call.Reply(call.path() + call.body()); });
   const std::string large(3 << 20, 'x');
   Call(large);
   Call("");
@@ -105,7 +105,7 @@
 // A keeper that has stepped down refuses the stream before it looks at it. The
 // entry may only try elsewhere because nothing was done here.
 TEST_F(PeerTest, RefusedStreamWasNotSent) {
-  Listen([](PeerCall call) {
+  Listen([](const PeerCall& call) {
     call.Refuse();
     call.Reply("too late");
   });
@@ -118,7 +118,7 @@
 // must not be acted on.
 TEST_F(PeerTest, OversizedCallIsRefusedUnseen) {
   bool seen = false;
-  Listen([&](PeerCall) { seen = true; });
+  Listen([&](const PeerCall&) { seen = true; });
   Call(std::string(5 << 20, 'x'));
   loop_.Run();
   EXPECT_EQ(results_.begin()->second.at(0).status, CallStatus::kNotSent);
@@ -130,8 +130,8 @@
 TEST_F(PeerTest, GoawayFinishesWhatIsOpenAndRefusesTheRest) {
   stop_after_ = 2;
   std::unique_ptr<PeerCall> held;
-  Listen([&](PeerCall call) {
-    held = std::make_unique<PeerCall>(std::move(call));
+  Listen([&](const PeerCall& call) {
+    held = std::make_unique<PeerCall>(call);
     server_->StopAccepting();
     loop_.Post([&] { Call("late"); });
     loop_.At(Clock::now() + kShort, [&] { held->Reply("done"); });
@@ -145,7 +145,7 @@
 // The keeper's process dies with a statement in hand. Whether it ran is not
 // known, and saying "not run" would invite a second work order.
 TEST_F(PeerTest, PeerLostInMidCallIsNotCalledUnsent) {
-  Listen([&](PeerCall) { loop_.Post([&] { server_.reset(); }); });
+  Listen([&](const PeerCall&) { loop_.Post([&] { server_.reset(); }); });
   Call("x");
   loop_.Run();
   EXPECT_EQ(StatusOf("x"), CallStatus::kLost);
@@ -154,7 +154,7 @@
 TEST_F(PeerTest, NobodyListeningMeansNotSent) {
   constexpr size_t kCalls = 100;
   stop_after_ = kCalls;
-  Listen([](PeerCall) {});
+  Listen([](const PeerCall&) {});
   server_.reset();
   for (size_t i = 0; i < kCalls; ++i) Call(std::to_string(i));
   loop_.Run();
@@ -165,13 +165,13 @@
 
 TEST_F(PeerTest, ConnectsAgainAfterALoss) {
   uint16_t port = 0;
-  Listen([](PeerCall call) { call.Reply("first"); });
+  Listen([](const PeerCall& call) { call.Reply("first"); });
   port = server_->port();
   client_->Call("/", "", Clock::now() + kLong, [&](const PeerResult& first) {
     EXPECT_EQ(first.body, "first");
     loop_.Post([&] {
       server_ = std::make_unique<PeerServer>(
-          loop_.base(), [](PeerCall call) { call.Reply("second"); });
+          loop_.base(), [](const PeerCall& call) { call.Reply("second"); });
       ASSERT_EQ(server_->Listen(LocalAddress(port)), "");
       loop_.At(Clock::now() + kShort, [&] { Call("x"); });
     });
@@ -186,7 +186,7 @@
   stop_after_ = 2;
   std::vector<PeerCall> held;
   bool gone = false;
-  Listen([&](PeerCall call) {
+  Listen([&](const PeerCall& call) {
     if (call.body() == "next") return call.Reply("to next");
     call.OnGone([&, slow = call] {
       gone = true;
@@ -230,9 +230,9 @@
   stop_after_ = kCalls + 2;
   std::unique_ptr<PeerCall> held;
   size_t gone = 0;
-  Listen([&](PeerCall call) {
+  Listen([&](const PeerCall& call) {
     if (call.body() == "held") {
-      held = std::make_unique<PeerCall>(std::move(call));
+      held = std::make_unique<PeerCall>(call);
     } else if (call.body() == "next") {
       call.Reply("");
       held->Reply("");
@@ -253,7 +253,7 @@
 }
 
 TEST_F(PeerTest, CancelledCallHearsNothing) {
-  Listen([&](PeerCall call) {
+  Listen([&](const PeerCall& call) {
     if (call.body() == "other") return call.Reply("");
     call.OnGone([&] { Call("other"); });
     loop_.Post([&] { client_->Cancel(1); });
@@ -265,7 +265,7 @@
 }
 
 TEST_F(PeerTest, ClientMayBeDestroyedInItsCallback) {
-  Listen([](PeerCall call) { call.Reply(""); });
+  Listen([](const PeerCall& call) { call.Reply(""); });
   for (int i = 0; i < 10; ++i) {
     client_->Call("/", "", Clock::now() + kLong, [&](const PeerResult&) {
       ASSERT_NE(client_, nullptr) << "called after its end";
