--- a/testsuite/wire_codec/wire_codec_test.cc
+++ b/testsuite/wire_codec/wire_codec_test.cc
@@ -394,11 +394,11 @@
                                        "{\"workspace\": 7,\n"
                                        "  \"sql\": \"\", \"kind\": \"wrote\",\n"
                                        "  \"params\": {}, \"deadline_ms\": 0,\n"
-                                       "  \"sesion\": \"\"}");
+                                       "  \"sesion\": \"\", \"group\": 5}");
   std::string text;
   for (const Finding& finding : findings) text += ToText(finding) + '\n';
   EXPECT_EQ(text,
-            R"(request:1:1: group: is missing (allowed: a string)
+            R"(request:4:26: group: is a number (allowed: a string)
 request:1:15: workspace: is a number (allowed: a string)
 request:3:32: deadline_ms: is out of range (allowed: an integer from 1 to 60000)
 request:2:10: sql: is empty (allowed: a string that is not empty)
