--- a/scripts/local_stack.sh
+++ b/scripts/local_stack.sh
@@ -72,7 +72,7 @@
 readonly GROUPS_PER_PROFILE=3
 readonly TEMPLATES=(gold silver bronze)
 readonly SLOTS=3
-declare -A callers peers  # addresses of the instances by number
+callers=() peers=()  # addresses of the instances by number
 
 # ---- processes ----
 
