--- a/testsuite/process_failover/run.sh
+++ b/testsuite/process_failover/run.sh
@@ -5,7 +5,8 @@
 cd "$(dirname "$0")/../.."
 . testsuite/standins/process.sh
 
-readonly AFTER_LOSS=20  # writes each writer gets done after the loss
+readonly AFTER_LOSS=15  # writes each writer gets done after the loss
+readonly LAG_MS=80      # so that the primary always has entries to lose
 
 primary_of() {
   local one
@@ -64,8 +65,9 @@
   before=$(primary_of "$group")
   check "$what: created" "$(ask instance-1 "$workspace" \
     "$(write_fields "$what-create" 'CREATE TABLE orders (id TEXT)')" | jq -r .outcome)" done
-  for n in 1 2 3; do
-    writer "$what-$n" "instance-$n" "$workspace" &
+  for n in a b c; do fault "$group-$n" "{\"lag_ms\":$LAG_MS}"; done
+  for n in 1 2 3 4 5 6; do
+    writer "$what-$n" "instance-$((n % 3 + 1))" "$workspace" &
   done
   sleep 0.1
   eventually "$what: writes run" each_done 10
@@ -111,10 +113,13 @@
 judge frozen "${left[@]}" "$lost"
 repeats_hold "${left[@]}" "$lost"
 
+# Whoever believed the old primary would find its writes nowhere else, so the
+# survivors are judged before it comes back.
 lose cut passport-3 tamworth-gates-3 cut_off
-fault "$lost" '{"cut":false}'
 mapfile -t left < <(others passport-3 "$lost")
 eventually "cut: survivors level" same_log "${left[@]}"
+judge "cut, before it heals" "${left[@]}"
+fault "$lost" '{"cut":false}'
 eventually "cut: the old primary follows" same_log "${left[0]}" "$lost"
 judge cut "${left[@]}" "$lost"
 repeats_hold "${left[@]}" "$lost"
--- a/testsuite/process_path/run.sh
+++ b/testsuite/process_path/run.sh
@@ -14,25 +14,36 @@
 check "create" "$(outcome "$answer")" done
 
 # A worker's card is renewed through one instance and scanned at the gate
-# through another. Yesterday's state at the gate would turn the worker away.
+# through another, while one replica is far behind: first one, then the other,
+# so that the preferred one has its turn. Yesterday's state at the gate would
+# turn the worker away.
 stale=0
 session=""
-for n in $(seq 30); do
-  writer="instance-$((n % 3 + 1))"
-  reader="instance-$(((n + 1) % 3 + 1))"
-  answer=$(ask $writer $W "{\"kind\":\"write\",\"request_id\":\"renew-$n\",\"session\":\"$session\",
-    \"sql\":\"INSERT INTO cards VALUES (?, ?)\",\"params\":[$n,\"A. Mason\"]}")
-  check "renewal $n" "$(outcome "$answer")" done
-  session=$(jq -r .session <<<"$answer")
-  answer=$(ask $reader $W "{\"session\":\"$session\",\"max_age_ms\":5000,
-    \"sql\":\"SELECT count(*) FROM cards\"}")
-  check "scan $n" "$(outcome "$answer")" done
-  session=$(jq -r .session <<<"$answer")
-  [ "$(rows "$answer")" = "[[$n]]" ] || stale=$((stale + 1))
-done
+n=0
+scan_beside() { # REPLICA that lags
+  fault "$1" '{"lag_ms":600000}'
+  for _ in $(seq 15); do
+    n=$((n + 1))
+    writer="instance-$((n % 3 + 1))"
+    reader="instance-$(((n + 1) % 3 + 1))"
+    answer=$(ask $writer $W "{\"kind\":\"write\",\"request_id\":\"renew-$n\",\"session\":\"$session\",
+      \"sql\":\"INSERT INTO cards VALUES (?, ?)\",\"params\":[$n,\"A. Mason\"]}")
+    check "renewal $n" "$(outcome "$answer")" done
+    session=$(jq -r .session <<<"$answer")
+    answer=$(ask $reader $W "{\"session\":\"$session\",\"max_age_ms\":600000,
+      \"sql\":\"SELECT count(*) FROM cards\"}")
+    check "scan $n" "$(outcome "$answer")" done
+    session=$(jq -r .session <<<"$answer")
+    [ "$(rows "$answer")" = "[[$n]]" ] || stale=$((stale + 1))
+  done
+  fault "$1" '{"lag_ms":0}'
+  eventually "$1 is level" same_log $GROUP-a "$1"
+}
+scan_beside $GROUP-b
+scan_beside $GROUP-c
 check "scans that missed a renewal" "$stale" 0
 
-# Nothing is written now, so replicas are level and take the reads.
+# Nothing is written now, the replicas are level and take the reads.
 from_replica=0
 for n in $(seq 20); do
   answer=$(ask instance-$((n % 3 + 1)) $W "{\"session\":\"$session\",\"max_age_ms\":5000,
