Forward requests to keepers and settle what was lost

One state machine per entry. A copy that may have arrived is followed by another one only if the request is repeatable; otherwise its outcome is settled through the next in rank by request id. Silence is judged by all that an instance answers: judged by single requests, a queue longer than the patience would have each waiting write settled, and thereby fenced.

--- a/src/include/ryefold/core/entry/forwarder.h
+++ b/src/include/ryefold/core/entry/forwarder.h
@@ -74,9 +74,9 @@
     TimePoint now, const std::string& group)>;
 
 struct ForwarderTiming {
-  /// A keeper silent for this long on a request is doubted: the outcome of a
-  /// non-repeatable request is then settled through the next in rank, a
-  /// repeatable one is sent there.
+  /// A keeper that holds a request and has answered nothing at all for this
+  /// long is doubted: the outcome of a non-repeatable request is then settled
+  /// through the next in rank, a repeatable one is sent there.
   std::chrono::milliseconds patience{1500};
   /// Retries earned per first try, and how many may be saved up.
   double retry_ratio = 0.2;
@@ -85,7 +85,23 @@
   std::chrono::milliseconds backoff{20};
 };
 
-/// State machine of one entry, for all groups. Owned by one task.
+/// State machine of one entry, for all groups. Each request gets one answer,
+/// by its deadline at the latest:
+///
+/// - It goes to the first in rank, and on to the next, four at most, when it
+///   certainly did not arrive or the instance is leaving or not ready.
+/// - A copy that may have arrived and is not answered is followed by another
+///   one only if the request may be repeated. Otherwise the next in rank is
+///   asked to settle what became of it; from then on it is never sent again.
+///   A refused settle call is no outcome.
+/// - "Not run" is said only when no copy can have run.
+/// - Steps of a transaction go only to the instance that its id names.
+/// - Retries come out of a budget; when that is spent, the answer is at once.
+///
+/// An answer "not run" speaks for this attempt of the caller, not for earlier
+/// ones with the same request id.
+///
+/// Owned by one task.
 class Forwarder {
  public:
   Forwarder(Ranking ranking, ForwarderTiming timing, uint64_t seed);
--- /dev/null
+++ b/src/libcore/entry/backoff.h
@@ -0,0 +1,41 @@
+#pragma once
+
+// Pauses before retries and times to come back, both with jitter.
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <random>
+
+namespace ryefold::core::entry {
+
+/// Doubles the pause with each round. The jitter keeps requests that failed
+/// together from being retried together.
+class Backoff {
+ public:
+  Backoff(std::chrono::milliseconds first, uint64_t seed)
+      : first_(first), random_(seed) {}
+
+  /// Pause before the retry of this round, from 0.
+  std::chrono::milliseconds Pause(uint32_t round) {
+    return Spread(first_ * (1 << std::min(round, kMostDoublings)));
+  }
+
+  /// What a caller is told that is given up here.
+  std::chrono::milliseconds RetryAfter() { return Spread(first_ * kReturn); }
+
+ private:
+  static constexpr uint32_t kMostDoublings = 5;
+  static constexpr int kReturn = 10;
+
+  std::chrono::milliseconds Spread(std::chrono::milliseconds middle) {
+    const int64_t half = std::max<int64_t>(middle.count() / 2, 1);
+    std::uniform_int_distribution<int64_t> spread(half, 3 * half);
+    return std::chrono::milliseconds(spread(random_));
+  }
+
+  std::chrono::milliseconds first_;
+  std::mt19937_64 random_;
+};
+
+}  // namespace ryefold::core::entry
--- /dev/null
+++ b/src/libcore/entry/forwarder_sending.cc
@@ -0,0 +1,145 @@
+// How the forwarder sends, retries and answers.
+
+#include <algorithm>
+
+#include "forwarder_impl.h"
+
+namespace ryefold::core::entry {
+namespace {
+
+/// How far down the ranking a request is taken. Instances below would only
+/// point back up, and asking all of a large fleet would be a storm.
+constexpr size_t kRankDepth = 4;
+
+}  // namespace
+
+/// The next in rank that was not tried in this walk; a transaction's steps go
+/// only to the instance that holds its connection.
+std::optional<std::string> Forwarder::Impl::NextTarget(Pending* pending) const {
+  if (pending->in_transaction() && pending->phase == Phase::kForwarding) {
+    return TransactionKeeper(pending->request.transaction);
+  }
+  const std::vector<std::string> ranked =
+      ranking_(now_, pending->request.group);
+  const size_t depth = std::min(ranked.size(), kRankDepth);
+  for (size_t i = 0; i < depth; ++i) {
+    const auto& tried = pending->tried;
+    const bool known =
+        std::find(tried.begin(), tried.end(), ranked[i]) != tried.end();
+    if (!known) return ranked[i];
+  }
+  return std::nullopt;
+}
+
+void Forwarder::Impl::SendNext(Pending* pending) {
+  const std::optional<std::string> target = NextTarget(pending);
+  if (target.has_value()) {
+    Send(pending, *target);
+  } else {
+    EndOfWalk(pending);
+  }
+}
+
+void Forwarder::Impl::Send(Pending* pending, const std::string& instance) {
+  const CallId call = next_call_++;
+  const bool settles = pending->phase == Phase::kSettling;
+  calls_[call] = Call{pending->tag, instance, now_, settles};
+  pending->tried.push_back(instance);
+  pending->watched = call;
+  pending->retry_at = TimePoint::max();
+  const StatementRequest& request = pending->request;
+  if (settles) {
+    const SettleRequest settle{request.request_id, request.group,
+                               request.workspace, request.deadline};
+    pending->settles.insert(call);
+    actions_->push_back(Settle{call, instance, settle});
+  } else {
+    pending->open.insert(call);
+    actions_->push_back(Forward{call, instance, request});
+  }
+  Reschedule(pending);
+}
+
+/// Everybody in reach was asked. Unless none is known at all, the walk starts
+/// again after a pause, out of the retry budget.
+void Forwarder::Impl::EndOfWalk(Pending* pending) {
+  if (pending->tried.empty()) {
+    GiveUp(pending, Reason::kNotReady);
+    return;
+  }
+  pending->tried.clear();
+  RetryLater(pending, Reason::kNotReady);
+}
+
+/// Plans the next try out of the retry budget; false when that is spent.
+bool Forwarder::Impl::PlanRetry(Pending* pending) {
+  if (!budget_.TakeRetry()) return false;
+  pending->watched = 0;
+  pending->retry_at = now_ + backoff_.Pause(pending->rounds++);
+  Reschedule(pending);
+  return true;
+}
+
+void Forwarder::Impl::RetryLater(Pending* pending, Reason reason) {
+  if (!PlanRetry(pending)) GiveUp(pending, reason);
+}
+
+/// From here on the request is not sent any more: the settle call fences its
+/// id, or finds the record of its run.
+void Forwarder::Impl::BeginSettling(Pending* pending) {
+  pending->phase = Phase::kSettling;
+  SendNext(pending);
+}
+
+void Forwarder::Impl::Reschedule(Pending* pending) {
+  TimePoint due = std::min(pending->request.deadline, pending->retry_at);
+  const auto watched = calls_.find(pending->watched);
+  if (watched != calls_.end()) {
+    const Call& call = watched->second;
+    due = std::min(due, hearing_.DoubtAt(call.instance, call.sent));
+  }
+  due_.erase({pending->due, pending->tag});
+  pending->due = due;
+  due_.emplace(due, pending->tag);
+}
+
+void Forwarder::Impl::Finish(Pending* pending, StatementAnswer answer) {
+  actions_->push_back(Respond{pending->tag, std::move(answer)});
+  Remove(pending);
+}
+
+void Forwarder::Impl::FinishUnknown(Pending* pending, Reason reason) {
+  Finish(pending, StatementAnswer::Unknown(reason));
+}
+
+/// Only for requests of which no copy can have run.
+void Forwarder::Impl::FinishUnsent(Pending* pending, Reason reason) {
+  Finish(pending, StatementAnswer::NotRun(NotRunProof::NeverSent(), reason,
+                                          backoff_.RetryAfter()));
+}
+
+void Forwarder::Impl::GiveUp(Pending* pending, Reason reason) {
+  if (pending->surely_not_run()) {
+    FinishUnsent(pending, reason);
+  } else {
+    const bool late = reason == Reason::kDeadline;
+    FinishUnknown(pending, late ? reason : Reason::kInstanceLost);
+  }
+}
+
+void Forwarder::Impl::Remove(Pending* pending) {
+  due_.erase({pending->due, pending->tag});
+  for (const CallId call : pending->open) calls_.erase(call);
+  for (const CallId call : pending->settles) calls_.erase(call);
+  requests_.erase(pending->tag);
+}
+
+void Forwarder::Impl::Heard(const std::string& instance) {
+  if (hearing_.Heard(now_, instance)) actions_->push_back(Trust{instance});
+}
+
+void Forwarder::Impl::Failed(const std::string& instance) {
+  if (hearing_.Failed(now_, instance)) actions_->push_back(Suspect{instance});
+}
+
+}  // namespace ryefold::core::entry
