Replica share in virtual time; the fake's slow streams come up

A log stream that needs longer than 100 ms was begun anew before its first entry arrived, so that a lag above that was a replica that stood still. Seen by a promotion in the share trial with 200 ms lag.

--- a/testsuite/support/group/fake_database.h
+++ b/testsuite/support/group/fake_database.h
@@ -306,7 +306,7 @@
     if (call.term == adopted_term_ && call.proposer != proposer_) return false;
     if (call.term > adopted_term_) Adopt(call.term, call.proposer);
     if (primary_role_ && call.primary != name_) return false;
-    if (following_ == call.primary && stream_live_) return true;
+    if (following_ == call.primary) return true;
     following_ = call.primary;
     Subscribe();
     return true;
@@ -322,7 +322,11 @@
 
   void Resubscribe() {
     queue_->After(milliseconds(100), [this] {
-      if (!following_.empty() && !stream_live_) Subscribe();
+      // A stream that has only just begun is still on its way.
+      const TimePoint due =
+          asked_at_ + 2 * shape_.peer_delay + shape_.lag + milliseconds(50);
+      const bool waits = stream_live_ || queue_->now() < due;
+      if (!following_.empty() && !waits) Subscribe();
       Resubscribe();
     });
   }
@@ -331,6 +335,7 @@
     if (dead || frozen || following_.empty()) return;
     const uint64_t stream = ++stream_;
     stream_live_ = false;
+    asked_at_ = queue_->now();
     FakeDatabase* primary = peers_(following_);
     if (primary == nullptr || !LinkedTo(*primary)) return;
     queue_->After(shape_.peer_delay,
@@ -454,6 +459,7 @@
   std::map<std::string, Follower> followers_;
   uint64_t stream_ = 0;
   bool stream_live_ = false;
+  TimePoint asked_at_;
 
   std::map<ConnectionKey, Connection> connections_;
   std::deque<Waiting> waiting_;
