Bounds on control traffic; a lost failure domain is silent in the bench

The domain's instances used to refuse connections in the bench, so that groups moved within milliseconds; a lost domain does not answer at all.

--- a/src/bench/control.cc
+++ b/src/bench/control.cc
@@ -16,6 +16,7 @@
 #include "testsuite/support/control/changes.h"
 #include "testsuite/support/control/fleet.h"
 #include "testsuite/support/control/meter.h"
+#include "testsuite/support/control/traffic.h"
 
 namespace ryefold::testing::control {
 namespace {
@@ -148,10 +149,13 @@
     };
     meter_->Reset();
     const TimePoint begin = fleet_->now();
+    // Silence, not refusal: the machines themselves are gone.
     for (size_t i = 0; i < fleet_->size(); i += options_.domains) {
-      fleet_->Kill(i);
+      fleet_->Freeze(i);
     }
-    AskFor(10s);
+    Traffic traffic(fleet_.get());
+    traffic.Start(std::max(1ms, 1000ms / static_cast<int>(groups_.size())), 10s,
+                  groups_);
     const bool all = fleet_->RunUntil([this] { return AllKept(); }, 60s, 10ms);
     std::printf(
         "  failure domain lost: %zu of %zu groups lose their keeper; %s kept "
@@ -159,8 +163,12 @@
         orphans, groups_.size(), all ? "all" : "NOT all", Since(begin));
     fleet_->Run(10s);
     std::printf(
-        "    %zu take-overs, %.0f B/s per instance meanwhile (busiest %.0f)\n",
-        moves, meter_->bytes(), meter_->worst_bytes());
+        "    %zu take-overs, %.0f B/s per instance meanwhile (busiest %.0f); "
+        "requests: %lu served, %lu later than 100 ms, worst %.1f s, %lu "
+        "refused\n",
+        moves, meter_->bytes(), meter_->worst_bytes(), traffic.served,
+        traffic.delayed, static_cast<double>(traffic.worst.count()) / 1000,
+        traffic.refused);
     fleet_->on_duty = nullptr;
   }
 
@@ -246,32 +254,12 @@
 
   bool AllKept() const {
     return std::all_of(groups_.begin(), groups_.end(), [&](const auto& group) {
-      return !fleet_->KeepersOf(group).empty();
+      const auto keepers = fleet_->KeepersOf(group);
+      return std::any_of(keepers.begin(), keepers.end(),
+                         [&](size_t i) { return !fleet_->at(i).frozen; });
     });
   }
 
-  /// Entries ask for each group once a second, as callers make them do.
-  void AskFor(std::chrono::seconds length) {
-    for (auto at = 0s; at < length; at += 1s) {
-      fleet_->After(at, [this] {
-        for (size_t g = 0; g < groups_.size(); ++g) AskOnce(g);
-      });
-    }
-  }
-  void AskOnce(size_t g) {
-    size_t entry = (g * 31 + 1) % fleet_->size();
-    if (!fleet_->at(entry).alive) entry = (entry + 1) % fleet_->size();
-    mem::Roster& roster = *fleet_->at(entry).roster;
-    for (const auto& name : roster.Ranked(fleet_->now(), groups_[g])) {
-      const size_t target = fleet_->IndexOf(name);
-      if (!fleet_->at(target).alive) {
-        roster.Suspect(fleet_->now(), name);
-      } else if (fleet_->Ask(target, groups_[g])) {
-        return;
-      }
-    }
-  }
-
   Sizes sizes_;
   FleetOptions options_;
   std::unique_ptr<Fleet> fleet_;
--- /dev/null
+++ b/testsuite/control_bounds/bounds_test.cc
@@ -0,0 +1,106 @@
+// Bounds on what control costs, in counts and bytes of virtual time: messages
+// and bytes of an instance must not grow with the fleet, store calls neither.
+// What bench_control prints stands beside each bound in docs/CAPACITY.md.
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+
+#include "testsuite/support/control/changes.h"
+#include "testsuite/support/control/fleet.h"
+#include "testsuite/support/control/meter.h"
+
+namespace ryefold::testing::control {
+namespace {
+
+struct Cost {
+  double messages = 0;
+  double bytes = 0;
+  double store_calls = 0;
+};
+
+class Bounds : public ::testing::Test {
+ protected:
+  void Begin(size_t instances) {
+    const FleetOptions options = TargetProportions(instances);
+    fleet_ = std::make_unique<Fleet>(options);
+    fleet_->SetGroups(GroupNames(options.groups));
+    ASSERT_TRUE(fleet_->RunUntil([this] { return fleet_->AllReady(); }, 10s));
+    fleet_->Run(10s);
+  }
+  Cost Steady(size_t instances) {
+    Begin(instances);
+    Meter meter(fleet_.get());
+    fleet_->Run(60s);
+    return {meter.messages(), meter.bytes(), meter.store_calls()};
+  }
+  void Publish(size_t i) {
+    const std::string name = std::to_string(next_++);
+    fleet_->Publish(
+        i, ChangeOf(name, "workspace/" + name, 0, std::string(300, 'x')), 30s);
+  }
+  /// Time until `revision` is in force everywhere.
+  milliseconds UntilInForce(uint64_t revision) {
+    const TimePoint begin = fleet_->now();
+    EXPECT_TRUE(fleet_->RunUntil(
+        [&] {
+          return fleet_->platform.log().size() >= revision &&
+                 fleet_->InForceEverywhere(revision);
+        },
+        60s));
+    return std::chrono::duration_cast<milliseconds>(fleet_->now() - begin);
+  }
+
+  std::unique_ptr<Fleet> fleet_;
+  size_t next_ = 0;
+};
+
+TEST_F(Bounds, SteadyTrafficStaysFlatAsTheFleetGrows) {
+  const Cost small = Steady(8);
+  for (const size_t instances : {32U, 128U}) {
+    const Cost cost = Steady(instances);
+    EXPECT_LE(cost.messages, 7.5) << instances;
+    EXPECT_LE(cost.bytes, 1000) << instances;
+    EXPECT_LE(cost.messages, 1.25 * small.messages) << instances;
+    EXPECT_LE(cost.bytes, 1.25 * small.bytes) << instances;
+    EXPECT_LE(cost.store_calls, 2.5) << instances;
+    EXPECT_LE(cost.store_calls, 1.2 * small.store_calls) << instances;
+  }
+}
+
+TEST_F(Bounds, AChangeIsInForceWithinTwoSeconds) {
+  for (const size_t instances : {8U, 128U}) {
+    Begin(instances);
+    for (uint64_t i = 1; i <= 10; ++i) {
+      Publish(i % instances);
+      EXPECT_LE(UntilInForce(i), 2s) << instances;
+    }
+  }
+}
+
+TEST_F(Bounds, ABurstOfAHundredChangesThroughOneInstance) {
+  Begin(128);
+  Meter meter(fleet_.get());
+  for (int i = 0; i < 100; ++i) {
+    fleet_->After(milliseconds(10 * i), [this] { Publish(1); });
+  }
+  EXPECT_LE(UntilInForce(100), 2s);
+  EXPECT_LE(meter.bytes() * meter.seconds(), 150000);
+  EXPECT_LE(meter.store_calls() * meter.seconds(), 500);
+}
+
+// A hundred operators publish within a second, each through an instance of his
+// own. They race for the end of the log, and the store must bear it.
+TEST_F(Bounds, ABurstOfAHundredChangesThroughManyInstances) {
+  Begin(128);
+  Meter meter(fleet_.get());
+  for (int i = 0; i < 100; ++i) {
+    fleet_->After(milliseconds(10 * i), [this, i] { Publish(i * 13 % 128); });
+  }
+  EXPECT_LE(UntilInForce(100), 9s);
+  EXPECT_LE(meter.store_calls(), 1000);
+}
+
+}  // namespace
+}  // namespace ryefold::testing::control
--- a/testsuite/support/control/traffic.h
+++ b/testsuite/support/control/traffic.h
@@ -32,7 +32,8 @@
     for (milliseconds at{0}; at < length; at += interval) {
       const uint64_t n = next_++;
       fleet_->After(at, [this, n] {
-        Send(n % fleet_->size(), groups_[n / fleet_->size() % groups_.size()]);
+        const size_t entry = n * 7 + n / groups_.size();
+        Send(entry % fleet_->size(), groups_[n % groups_.size()]);
       });
     }
   }
