--- a/src/include/ryefold/wire/document.h
+++ b/src/include/ryefold/wire/document.h
@@ -81,6 +81,8 @@
   friend class Document;
   struct Node;
   Reader(Document* document, Findings* findings, std::shared_ptr<Node> node);
+  void ReportUnknown(const std::string& key);
+
   Document* document_;
   Findings* findings_;
   std::shared_ptr<Node> node_;
--- a/src/libwire/reader.cc
+++ b/src/libwire/reader.cc
@@ -12,19 +12,36 @@
 /// One object being read. Without a value (missing, or broken document) every
 /// accessor quietly gives its default.
 struct Reader::Node {
+  static constexpr size_t kUsualMembers = 16;
+
   const Json::Value* value = nullptr;
   std::string path;
-  /// Names that were asked for.
+  /// Names that were asked for, also more than once.
   std::vector<std::string> known;
 
+  /// Looks a member up and notes that it is known.
   const Json::Value* Find(std::string_view name) {
-    if (std::find(known.begin(), known.end(), name) == known.end()) {
-      known.emplace_back(name);
-    }
+    if (known.empty()) known.reserve(kUsualMembers);
+    known.emplace_back(name);
+    return Lookup(name);
+  }
+
+  const Json::Value* Lookup(std::string_view name) const {
     if (value == nullptr) return nullptr;
     return value->find(name.data(), name.data() + name.size());
   }
 
+  /// Names asked for, each once, in the order of asking.
+  std::vector<std::string> UniqueKnown() const {
+    std::vector<std::string> unique;
+    for (const std::string& name : known) {
+      if (std::find(unique.begin(), unique.end(), name) == unique.end()) {
+        unique.push_back(name);
+      }
+    }
+    return unique;
+  }
+
   std::string PathOf(std::string_view name) const {
     std::string full = path;
     if (!full.empty() && !name.empty()) full += '.';
@@ -143,10 +160,12 @@
     if (node_->value != nullptr) Report(name, "is missing", "a string");
     return {};
   }
-  std::string text = String(name);
-  if (value->isString() && text.empty()) {
-    Report(name, "is empty", "a string that is not empty");
+  if (!value->isString()) {
+    Report(name, WrongType(*value), "a string");
+    return {};
   }
+  std::string text = value->asString();
+  if (text.empty()) Report(name, "is empty", "a string that is not empty");
   return text;
 }
 
@@ -170,7 +189,7 @@
 
 int64_t Reader::RequiredInt(std::string_view name, int64_t least,
                             int64_t most) {
-  if (node_->Find(name) == nullptr && node_->value != nullptr) {
+  if (node_->Lookup(name) == nullptr && node_->value != nullptr) {
     Report(name, "is missing", Range(least, most));
   }
   return Int(name, least, least, most);
@@ -329,7 +348,7 @@
 
 void Reader::Report(std::string_view name, std::string problem,
                     std::string allowed) {
-  const Json::Value* value = name.empty() ? nullptr : node_->Find(name);
+  const Json::Value* value = name.empty() ? nullptr : node_->Lookup(name);
   if (value == nullptr) value = node_->value;
   findings_->push_back(document_->impl()->At(
       value, node_->PathOf(name), std::move(problem), std::move(allowed)));
@@ -337,16 +356,24 @@
 
 void Reader::Finish() {
   if (node_->value == nullptr) return;
-  for (const std::string& key : node_->value->getMemberNames()) {
+  const Json::Value& object = *node_->value;
+  for (auto member = object.begin(); member != object.end(); ++member) {
+    const char* end = nullptr;
+    const char* begin = member.memberName(&end);
+    const std::string_view key(begin, static_cast<size_t>(end - begin));
     const std::vector<std::string>& known = node_->known;
     if (std::find(known.begin(), known.end(), key) != known.end()) continue;
-    const std::string nearest = Nearest(key, known);
-    std::string problem = "is not known";
-    if (!nearest.empty()) problem += ", did you mean \"" + nearest + "\"?";
-    findings_->push_back(
-        document_->impl()->At(&(*node_->value)[key], node_->PathOf(key),
-                              std::move(problem), Join(known)));
+    ReportUnknown(std::string(key));
   }
 }
 
+void Reader::ReportUnknown(const std::string& key) {
+  const std::vector<std::string> known = node_->UniqueKnown();
+  const std::string nearest = Nearest(key, known);
+  std::string problem = "is not known";
+  if (!nearest.empty()) problem += ", did you mean \"" + nearest + "\"?";
+  findings_->push_back(document_->impl()->At(
+      node_->Lookup(key), node_->PathOf(key), std::move(problem), Join(known)));
+}
+
 }  // namespace ryefold::wire
