Cut a result out of a database's answer before parsing the rest

A tree of all rows was built only to find where their text begins and ends. Brackets and strings of the result are still checked, so it cannot break out of the answer that takes it in; its numbers, words and commas are no longer looked at.

--- a/src/libwire/database_codec.cc
+++ b/src/libwire/database_codec.cc
@@ -3,6 +3,7 @@
 #include <array>
 #include <utility>
 
+#include "json_cut.h"
 #include "json_text.h"
 #include "json_value.h"
 #include "position_json.h"
@@ -14,6 +15,7 @@
 constexpr std::string_view kBeginPath = "/v1/begin";
 constexpr std::string_view kCommitPath = "/v1/commit";
 constexpr std::string_view kRollbackPath = "/v1/rollback";
+constexpr std::string_view kResult = "result";
 
 /// Names of an enum's values, in the order of the values.
 template <size_t kCount>
@@ -118,18 +120,22 @@
 
 std::optional<core::ExecuteAnswer> ReadExecuteAnswer(const std::string& body) {
   core::ExecuteAnswer answer;
+  // Rows pass through as text; parsed, they would cost many times the rest.
+  const CutObject cut = CutMember(body, kResult);
+  const std::string_view text = cut.member.empty() ? body : cut.rest;
   Json::Value root;
-  if (!ParseJson(body, false, &root, nullptr)) return std::nullopt;
-  Fields fields(body, &root);
+  if (!ParseJson(text, false, &root, nullptr)) return std::nullopt;
+  Fields fields(text, &root);
   // Without a status nothing is known about what ran.
   if (fields.Find("status") == nullptr) return std::nullopt;
   ReadName(&fields, "status", kExecuteStatuses, &answer.status);
   fields.String("error", &answer.error);
-  fields.RawObject("result", &answer.result_json);
+  if (cut.member.empty()) fields.RawObject(kResult, &answer.result_json);
   ReadPosition(&fields, "position", &answer.position);
   fields.Bool("from_record", &answer.from_record);
   fields.Uint("adopted_term", &answer.adopted_term);
   if (!fields.ok()) return std::nullopt;
+  if (!cut.member.empty()) answer.result_json = cut.member;
   return answer;
 }
 
--- a/testsuite/wire_codec/wire_codec_test.cc
+++ b/testsuite/wire_codec/wire_codec_test.cc
@@ -321,6 +321,10 @@
         R"({"status":1})", R"({"status":"ok")", R"({"status":"ok"}x)",
         R"({"status":"ok","status":"fenced"})",
         R"({"status":"ok","result":[1]})",
+        R"({"status":"ok","result":{"rows":[}]})",
+        R"({"status":"ok","result":{"rows":["]}})",
+        R"({"status":"ok","result":{},"result":{}})",
+        R"({"status":"ok","result":{}}})", R"({"status":"ok","result":{})",
         R"({"status":"ok","position":{"term":-1}})",
         R"({"status":"ok","position":7})",
         R"({"status":"ok","from_record":"yes"})"}) {
@@ -332,6 +336,32 @@
   EXPECT_FALSE(ReadExecuteAnswer(deep).has_value());
 }
 
+TEST(DatabaseCodec, ResultIsTheMemberOfThatNameOnly) {
+  const auto result_in = [](const std::string& body) {
+    const auto answer = ReadExecuteAnswer(body);
+    return answer.has_value() ? answer->result_json : "refused";
+  };
+  EXPECT_EQ(result_in(R"( {"error":"result", "new":{"result":{"a":1}},)"
+                      R"( "status":"ok" , "result" : {"b\"}":[{}, 2 ]} } )"),
+            R"({"b\"}":[{}, 2 ]})");
+  EXPECT_EQ(result_in(R"({"status":"ok","new":["result",{"result":{}}]})"), "");
+  EXPECT_EQ(result_in(R"({"status":"ok","\u0072esult":{"c":1}})"),
+            R"({"c":1})");
+}
+
+// Whatever a damaged answer's result holds, put into a caller's answer it must
+// not end that early and forge the members that follow.
+RC_GTEST_PROP(DatabaseCodec, DamagedResultStaysAnObject, ()) {
+  ExecuteAnswer sent;
+  sent.status = core::ExecuteStatus::kOk;
+  sent.result_json = Damage(R"({"rows":[["}\"",{"a":[]}]],"changes":0})");
+  const auto got = ReadExecuteAnswer(WriteExecuteAnswer(sent));
+  if (!got.has_value()) return;
+  const std::string& result = got->result_json;
+  RC_ASSERT(result.empty() || result.front() == '{');
+  RC_ASSERT(result.empty() || result.back() == '}');
+}
+
 TEST(DatabaseCodec, CallOnAnotherPathIsRefused) {
   ExecuteCall call;
   call.step = core::Step::kCommit;
