--- a/testsuite/support/group/fake_database.h
+++ b/testsuite/support/group/fake_database.h
@@ -65,7 +65,7 @@
   void Kill() {
     dead = true;
     for (const auto& [name, follower] : followers_) {
-      peers_(name)->stream_live_ = false;
+      peers_(name)->BreakStream();
     }
     Forget();
   }
@@ -347,6 +347,12 @@
                   });
   }
 
+  /// What is still under way on a broken stream never arrives.
+  void BreakStream() {
+    ++stream_;
+    stream_live_ = false;
+  }
+
   bool LinkedTo(const FakeDatabase& other) const {
     return !dead && !other.dead && !peers_cut && !other.peers_cut;
   }
@@ -365,7 +371,7 @@
   void Ship(const std::string& name, Follower* follower) {
     FakeDatabase* replica = peers_(name);
     if (replica == nullptr || !LinkedTo(*replica)) {
-      if (replica != nullptr) replica->stream_live_ = false;
+      if (replica != nullptr) replica->BreakStream();
       return;
     }
     const size_t from = follower->sent;
@@ -376,7 +382,7 @@
                    term = adopted_term_, life = life_] {
                     // What was under way when the link broke is lost.
                     if (life != life_ || !LinkedTo(*replica)) {
-                      replica->stream_live_ = false;
+                      replica->BreakStream();
                       return;
                     }
                     replica->Deliver([replica, stream, term, from, tail] {
