--- a/src/bench/failover.cc
+++ b/src/bench/failover.cc
@@ -49,11 +49,20 @@
   }
 }
 
+/// False promotions under steady and under rare writes together.
+uint64_t False(const GroupShape& shape, Duration stall, Duration delay,
+               size_t trials) {
+  return CountFalsePromotions(shape, stall, delay, Traffic::kSteady, trials,
+                              kSeed) +
+         CountFalsePromotions(shape, stall, delay, Traffic::kRare, trials,
+                              kSeed);
+}
+
 void PrintDetection(size_t trials) {
   std::printf(
       "\nDetection settings (tamworth): false promotions in %zu runs of 10 s, "
       "and the gap they buy, ms\n",
-      trials);
+      2 * trials);
   std::printf("%10s %12s | %9s %9s %9s | %13s %13s\n", "lost_after",
               "unconfirmed", "stall 3 s", "+250 ms", "+500 ms", "silent worst",
               "cut off worst");
@@ -61,12 +70,9 @@
     GroupShape shape = Tamworth();
     shape.timing.lost_after = milliseconds(lost);
     shape.timing.unconfirmed_after = milliseconds(std::max(lost - 500, 400));
-    const auto stall =
-        CountFalsePromotions(shape, seconds(3), Duration{0}, trials, kSeed);
-    const auto quarter = CountFalsePromotions(shape, Duration{0},
-                                              milliseconds(250), trials, kSeed);
-    const auto half = CountFalsePromotions(shape, Duration{0},
-                                           milliseconds(500), trials, kSeed);
+    const auto stall = False(shape, seconds(3), Duration{0}, trials);
+    const auto quarter = False(shape, Duration{0}, milliseconds(250), trials);
+    const auto half = False(shape, Duration{0}, milliseconds(500), trials);
     const auto silent = MeasureLoss(shape, Loss::kSilent, trials, kSeed);
     const auto cut = MeasureLoss(shape, Loss::kCutOff, trials, kSeed);
     std::printf("%10d %12lld | %9llu %9llu %9llu | %13.1f %13.1f\n", lost,
--- a/testsuite/support/group/failover_trial.h
+++ b/testsuite/support/group/failover_trial.h
@@ -33,10 +33,17 @@
 constexpr milliseconds kSuccessorPatience{500};
 constexpr milliseconds kWriteEvery{5};
 
+/// How often writes come.
+enum class Traffic { kSteady, kRare };
+constexpr milliseconds kRareWriteEvery{3000};
+
 class FailoverTrial {
  public:
-  FailoverTrial(GroupShape shape, uint64_t seed)
-      : group_(std::move(shape), seed) {
+  FailoverTrial(GroupShape shape, uint64_t seed,
+                Traffic traffic = Traffic::kSteady)
+      : group_(std::move(shape), seed),
+        write_every_(traffic == Traffic::kRare ? kRareWriteEvery
+                                               : kWriteEvery) {
     group_.AddKeeper();
     group_.time().RunFor(std::chrono::seconds(1));
     WriteOn();
@@ -74,7 +81,7 @@
                   if (answer.kind() != core::OutcomeKind::kDone) return;
                   done_.push_back(group_.time().now());
                 });
-    group_.time().After(kWriteEvery, [this] { WriteOn(); });
+    group_.time().After(write_every_, [this] { WriteOn(); });
   }
 
   void Strike(Loss loss) {
@@ -133,6 +140,7 @@
   }
 
   FakeGroup group_;
+  milliseconds write_every_;
   int keeper_ = 0;
   bool stopped_ = false;
   std::vector<TimePoint> done_;
@@ -169,11 +177,11 @@
 
 /// Promotions that a disturbance caused in `trials` runs.
 inline uint64_t CountFalsePromotions(const GroupShape& shape, Duration stall,
-                                     Duration network_delay, size_t trials,
-                                     uint64_t seed) {
+                                     Duration network_delay, Traffic traffic,
+                                     size_t trials, uint64_t seed) {
   uint64_t promotions = 0;
   for (size_t i = 0; i < trials; ++i) {
-    FailoverTrial trial(shape, seed + i);
+    FailoverTrial trial(shape, seed + i, traffic);
     promotions += trial.Disturb(stall, network_delay).promotions;
   }
   return promotions;
