--- a/src/ryefoldctl/client.h
+++ b/src/ryefoldctl/client.h
@@ -1,49 +1,65 @@
 #pragma once
 
-// Calls to the operators' interface of an instance.
+// Operators' calls to any of several instances.
+
+#include <json/json.h>
 
 #include <chrono>
-#include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "ryefold/core/types.h"
+
 namespace ryefold::ryefoldctl {
 
-/// Answer of an instance. `reached` is false when none of the servers
-/// answered; `lost` when a call was sent and its answer did not come.
-struct Reply {
-  bool reached = false;
-  bool lost = false;
+/// Where to call, and as whom.
+struct Access {
+  std::vector<std::string> servers;
+  std::string admin_key;
+  /// For the whole command.
+  core::TimePoint deadline;
+};
+
+struct Response {
+  /// HTTP status; 0 when no instance gave a whole answer.
   int status = 0;
-  std::string body;
+  Json::Value body;
+  /// Instance that answered.
   std::string server;
+  /// A request was sent whose answer never came: it may have had an effect.
+  bool lost = false;
 };
 
-/// Makes one call at a time and waits for its answer. Servers are tried in
-/// turn; one that answered is kept for the next call.
 class Client {
  public:
-  Client(std::vector<std::string> servers, std::string admin_key);
-  ~Client();
-  Client(const Client&) = delete;
-  Client& operator=(const Client&) = delete;
-
-  Reply Get(const std::string& path);
-  Reply Post(const std::string& path, const std::string& body);
-  /// Calls just this server.
-  Reply GetFrom(const std::string& server, const std::string& path);
-  Reply PostTo(const std::string& server, const std::string& path,
-               const std::string& body);
+  explicit Client(Access access) : access_(std::move(access)) {}
+
+  /// Asks one instance after the other until one answers with anything but
+  /// 503. Only for calls that may be repeated.
+  Response Get(const std::string& path);
+  /// Likewise; the body carries an id by which a repeat is recognised.
+  Response Post(const std::string& path, const Json::Value& body);
+
+  core::TimePoint deadline() const { return access_.deadline; }
+  bool expired() const;
 
  private:
-  Reply Call(const std::string& method, const std::string& path,
-             const std::string& body);
-  Reply CallOne(const std::string& server, const std::string& method,
-                const std::string& path, const std::string& body);
-
-  std::vector<std::string> servers_;
-  std::string admin_key_;
-  size_t next_ = 0;
+  Response Call(const std::string& method, const std::string& path,
+                const std::string& body);
+  Response CallOne(const std::string& server, const std::string& method,
+                   const std::string& path, const std::string& body);
+
+  Access access_;
+  /// The server that answered last is asked first.
+  size_t preferred_ = 0;
 };
 
+/// Text of `value` without line breaks.
+std::string ToText(const Json::Value& value);
+/// The JSON in `text`; nothing when it is broken.
+std::optional<Json::Value> ParseJson(const std::string& text);
+/// For use in a query.
+std::string Escape(const std::string& text);
+
 }  // namespace ryefold::ryefoldctl
