--- a/scripts/local_stack.sh
+++ b/scripts/local_stack.sh
@@ -314,7 +314,7 @@
 
 publish() {
   local server="$1"
-  "$build/ryefoldctl" --server "$server" --admin-key "$admin_key" publish \
+  "$build/ryefoldctl" publish --server "$server" --admin-key "$admin_key" \
     "$dir/configuration.json" >"$dir/publish.log" 2>&1 ||
     fail "the first configuration was not published" "$dir/publish.log"
 }
