--- a/testsuite/process_operators/run.sh
+++ b/testsuite/process_operators/run.sh
@@ -49,6 +49,26 @@
   check "round $round: one version more" "$(version_of instance-3)" $((seen + 1))
 done
 
+# The same with the command-line tool: both have read the same documents, hours
+# may lie in between, and the second to publish is told of the conflict.
+ctl() { # INSTANCE COMMAND...
+  "$BUILD/ryefoldctl" "${@:2}" --server "${addresses[$1]}" \
+    --admin-key "$(cat "$stack/admin_key")"
+}
+edited() { # WEIGHT: the operators' file with another weight
+  jq --argjson weight "$1" '{templates: {gold: (.templates.gold | .weight = $weight)}}' \
+    "$stack/configuration.json"
+}
+ctl instance-1 show --json >"$work/seen.json"
+edited 26 >"$work/one.json"
+edited 27 >"$work/two.json"
+ctl instance-1 publish "$work/one.json" --base "$work/seen.json" >"$work/ctl.one" 2>&1 && status=0 || status=$?
+check "first to publish" "$status" 0
+ctl instance-2 publish "$work/two.json" --base "$work/seen.json" >"$work/ctl.two" 2>&1 && status=0 || status=$?
+check "second to publish" "$status" 1
+check_that "it is told of the conflict" grep -qi "$KEY" "$work/ctl.two"
+eventually "the first one's change everywhere" in_force_everywhere 26
+
 # The store makes the change and its answer is lost. Guessing "failed" would
 # make the operator publish twice; guessing "done" would be luck.
 before=$(revision_of instance-1)
