Read peers' maps without a tree of their keys

MSGPACK_DEFINE_MAP builds a std::map of all keys for each map it reads. Each message now lists its keys once, for both directions; the bytes are the same.

--- a/src/libwire/peer_codec.cc
+++ b/src/libwire/peer_codec.cc
@@ -10,12 +10,18 @@
 
 using std::chrono::microseconds;
 
-/// What travels. Key names are short because each call carries them; they may
-/// be added to but never change their meaning.
+/// What travels. Each map lists its keys once, for both directions. Key names
+/// are short because each call carries them; they may be added to but never
+/// change their meaning.
 struct PositionMap {
   uint64_t term = 0;
   uint64_t index = 0;
-  MSGPACK_DEFINE_MAP(MSGPACK_NVP("t", term), MSGPACK_NVP("i", index))
+
+  template <class Self, class Visit>
+  static void Each(Self& self, const Visit& visit) {
+    visit("t", self.term);
+    visit("i", self.index);
+  }
 };
 
 struct RequestMap {
@@ -31,13 +37,22 @@
   std::optional<int64_t> max_age_ms;
   PositionMap seen;
   int64_t left_us = 0;
-  MSGPACK_DEFINE_MAP(MSGPACK_NVP("id", request_id), MSGPACK_NVP("g", group),
-                     MSGPACK_NVP("w", workspace), MSGPACK_NVP("st", step),
-                     MSGPACK_NVP("k", kind), MSGPACK_NVP("rep", repeatable),
-                     MSGPACK_NVP("sql", sql), MSGPACK_NVP("par", params),
-                     MSGPACK_NVP("tx", transaction),
-                     MSGPACK_NVP("age", max_age_ms), MSGPACK_NVP("seen", seen),
-                     MSGPACK_NVP("left", left_us))
+
+  template <class Self, class Visit>
+  static void Each(Self& self, const Visit& visit) {
+    visit("id", self.request_id);
+    visit("g", self.group);
+    visit("w", self.workspace);
+    visit("st", self.step);
+    visit("k", self.kind);
+    visit("rep", self.repeatable);
+    visit("sql", self.sql);
+    visit("par", self.params);
+    visit("tx", self.transaction);
+    visit("age", self.max_age_ms);
+    visit("seen", self.seen);
+    visit("left", self.left_us);
+  }
 };
 
 struct SettleMap {
@@ -45,8 +60,14 @@
   std::string group;
   std::string workspace;
   int64_t left_us = 0;
-  MSGPACK_DEFINE_MAP(MSGPACK_NVP("id", request_id), MSGPACK_NVP("g", group),
-                     MSGPACK_NVP("w", workspace), MSGPACK_NVP("left", left_us))
+
+  template <class Self, class Visit>
+  static void Each(Self& self, const Visit& visit) {
+    visit("id", self.request_id);
+    visit("g", self.group);
+    visit("w", self.workspace);
+    visit("left", self.left_us);
+  }
 };
 
 /// The outcome travels by name and has no default: an answer that lost it must
@@ -61,11 +82,19 @@
   std::string transaction;
   std::string database;
   bool replica = false;
-  MSGPACK_DEFINE_MAP(MSGPACK_NVP("out", outcome), MSGPACK_NVP("why", reason),
-                     MSGPACK_NVP("txt", detail), MSGPACK_NVP("res", result),
-                     MSGPACK_NVP("retry", retry_after_ms),
-                     MSGPACK_NVP("seen", seen), MSGPACK_NVP("tx", transaction),
-                     MSGPACK_NVP("db", database), MSGPACK_NVP("rpl", replica))
+
+  template <class Self, class Visit>
+  static void Each(Self& self, const Visit& visit) {
+    visit("out", self.outcome);
+    visit("why", self.reason);
+    visit("txt", self.detail);
+    visit("res", self.result);
+    visit("retry", self.retry_after_ms);
+    visit("seen", self.seen);
+    visit("tx", self.transaction);
+    visit("db", self.database);
+    visit("rpl", self.replica);
+  }
 };
 
 constexpr std::string_view kDone = "done";
@@ -75,13 +104,58 @@
 /// Longest time left that is believed; keeps the sum with `now` in range.
 constexpr int64_t kMaxLeftUs = int64_t{3600} * 1000 * 1000;
 
+/// Whether `Value` is one of the maps above.
+template <class Value>
+concept IsMap = requires(Value& value) {
+  Value::Each(value, [](std::string_view, auto&) {});
+};
+
+using Packer = msgpack::packer<msgpack::sbuffer>;
+
+template <class Value>
+void PackValue(Packer* packer, const Value& value) {
+  if constexpr (IsMap<Value>) {
+    uint32_t count = 0;
+    Value::Each(value, [&](std::string_view, const auto&) { ++count; });
+    packer->pack_map(count);
+    Value::Each(value, [&](std::string_view key, const auto& member) {
+      packer->pack(key);
+      PackValue(packer, member);
+    });
+  } else {
+    packer->pack(value);
+  }
+}
+
 template <class Map>
 std::string Pack(const Map& map) {
   msgpack::sbuffer buffer;
-  msgpack::pack(buffer, map);
+  Packer packer(buffer);
+  PackValue(&packer, map);
   return {buffer.data(), buffer.size()};
 }
 
+/// Reads what is known of a map. Throws msgpack's type error for a known key
+/// with a value of a wrong type. msgpack's own way to read maps builds a tree
+/// of all keys for each, which costs as much as all the rest.
+template <class Value>
+void UnpackValue(const msgpack::object& object, Value* value) {
+  if constexpr (IsMap<Value>) {
+    if (object.type != msgpack::type::MAP) throw msgpack::type_error();
+    for (uint32_t i = 0; i < object.via.map.size; ++i) {
+      const msgpack::object_kv& pair = object.via.map.ptr[i];
+      if (pair.key.type != msgpack::type::STR) continue;
+      const msgpack::object_str& text = pair.key.via.str;
+      const std::string_view key(text.ptr, text.size);
+      Value::Each(*value, [&](std::string_view name, auto& member) {
+        if (name == key) UnpackValue(pair.val, &member);
+      });
+    }
+  } else {
+    object.convert(*value);
+  }
+}
+
 /// Strings of the body are read in place instead of being copied twice.
 bool ReferTo(msgpack::type::object_type /*type*/, std::size_t /*size*/,
              void* /*data*/) {
@@ -99,8 +173,7 @@
     bool referenced = false;
     const msgpack::object_handle handle = msgpack::unpack(
         body.data(), body.size(), referenced, ReferTo, nullptr, limit);
-    if (handle.get().type != msgpack::type::MAP) return false;
-    handle.get().convert(*map);
+    UnpackValue(handle.get(), map);
     return true;
   } catch (const std::exception&) {
     return false;
