--- a/src/libwire/http_connection.cc
+++ b/src/libwire/http_connection.cc
@@ -57,7 +57,7 @@
 class HttpConnection::Impl : public std::enable_shared_from_this<Impl> {
  public:
   Impl(event_base* base, const std::string& address, std::function<void()> lost)
-      : base_(base), lost_(std::move(lost)) {
+      : base_(base), address_(address), lost_(std::move(lost)) {
     const Endpoint endpoint = ParseEndpoint(address);
     timer_ = evtimer_new(base, OnTimer, this);
     if (!endpoint.ok) return;
@@ -92,7 +92,7 @@
     }
     evhttp_request* request = evhttp_request_new(OnAnswer, this);
     evkeyvalq* out = evhttp_request_get_output_headers(request);
-    evhttp_add_header(out, "Host", "ryefold");
+    evhttp_add_header(out, "Host", address_.c_str());
     if (!body.empty()) {
       evhttp_add_header(out, "Content-Type", "application/json");
     }
@@ -240,6 +240,7 @@
   }
 
   event_base* base_;
+  const std::string address_;
   std::function<void()> lost_;
   evhttp_connection* evcon_ = nullptr;
   event* timer_ = nullptr;
--- a/src/libwire/http_server.cc
+++ b/src/libwire/http_server.cc
@@ -133,6 +133,7 @@
 
   ~Impl() {
     destroying_ = true;
+    pause_.reset();
     evhttp_free(http_);
     event_free(adopt_);
     event_free(sweep_);
@@ -144,11 +145,13 @@
     evconnlistener* listener = Bind(base_, address, &error);
     if (listener == nullptr) return error;
     bound_ = evhttp_bind_listener(http_, listener);
+    pause_ = std::make_unique<AcceptPause>(base_, listener);
     port_ = PortOf(evconnlistener_get_fd(listener));
     return {};
   }
 
   void StopAccepting() {
+    pause_.reset();
     if (bound_ != nullptr) evhttp_del_accept_socket(http_, bound_);
     bound_ = nullptr;
     stopping_ = true;
@@ -328,6 +331,7 @@
   Handler handler_;
   evhttp* http_ = nullptr;
   evhttp_bound_socket* bound_ = nullptr;
+  std::unique_ptr<AcceptPause> pause_;
   event* adopt_ = nullptr;
   event* sweep_ = nullptr;
   uint16_t port_ = 0;
--- a/src/libwire/net.cc
+++ b/src/libwire/net.cc
@@ -9,11 +9,20 @@
 #include <charconv>
 #include <cstring>
 #include <system_error>
+#include <unordered_map>
 
 namespace ryefold::wire {
 namespace {
 
 constexpr int kBacklog = 1024;
+constexpr std::chrono::milliseconds kAcceptPause{100};
+
+/// Timers of the listeners on this thread. A listener's error callback is
+/// given the argument of its accept callback, which may be evhttp's.
+std::unordered_map<evconnlistener*, event*>& Timers() {
+  thread_local std::unordered_map<evconnlistener*, event*> timers;
+  return timers;
+}
 
 }  // namespace
 
@@ -84,6 +93,27 @@
   return listener;
 }
 
+AcceptPause::AcceptPause(event_base* base, evconnlistener* listener)
+    : listener_(listener), timer_(evtimer_new(base, OnTimer, listener)) {
+  Timers()[listener] = timer_;
+  evconnlistener_set_error_cb(listener, OnError);
+}
+
+AcceptPause::~AcceptPause() {
+  Timers().erase(listener_);
+  event_free(timer_);
+}
+
+void AcceptPause::OnError(evconnlistener* listener, void* /*owner's*/) {
+  const timeval pause = ToTimeval(kAcceptPause);
+  evconnlistener_disable(listener);
+  event_add(Timers().at(listener), &pause);
+}
+
+void AcceptPause::OnTimer(evutil_socket_t, int16_t, void* listener) {
+  evconnlistener_enable(static_cast<evconnlistener*>(listener));
+}
+
 uint16_t PortOf(evutil_socket_t fd) {
   sockaddr_storage storage{};
   socklen_t size = sizeof(storage);
--- a/src/libwire/net.h
+++ b/src/libwire/net.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <string>
 
+struct event;
 struct event_base;
 struct evconnlistener;
 
@@ -42,6 +43,25 @@
 evconnlistener* Bind(event_base* base, const std::string& address,
                      std::string* error);
 
+/// Stops accepting for a moment when that fails, as it does when the process
+/// has no descriptor left. The waiting connection would otherwise wake the
+/// loop again at once, and a core would be spent on failing until some other
+/// connection ends. Must go before its listener.
+class AcceptPause {
+ public:
+  AcceptPause(event_base* base, evconnlistener* listener);
+  ~AcceptPause();
+  AcceptPause(const AcceptPause&) = delete;
+  AcceptPause& operator=(const AcceptPause&) = delete;
+
+ private:
+  static void OnError(evconnlistener* listener, void* arg);
+  static void OnTimer(evutil_socket_t fd, int16_t what, void* arg);
+
+  evconnlistener* listener_;
+  event* timer_;
+};
+
 uint16_t PortOf(evutil_socket_t fd);
 
 }  // namespace ryefold::wire
--- a/src/libwire/peer_server.cc
+++ b/src/libwire/peer_server.cc
@@ -64,6 +64,7 @@
   }
 
   ~Impl() {
+    pause_.reset();
     if (listener_ != nullptr) evconnlistener_free(listener_);
     links_.clear();
     ended_.clear();
@@ -75,11 +76,13 @@
     listener_ = Bind(base_, address, &error);
     if (listener_ == nullptr) return error;
     evconnlistener_set_cb(listener_, OnAccept, this);
+    pause_ = std::make_unique<AcceptPause>(base_, listener_);
     port_ = PortOf(evconnlistener_get_fd(listener_));
     return {};
   }
 
   void StopAccepting() {
+    pause_.reset();
     if (listener_ != nullptr) evconnlistener_free(listener_);
     listener_ = nullptr;
     for (auto& [raw, link] : links_) link->Goaway();
@@ -140,6 +143,7 @@
   event_base* base_;
   Handler handler_;
   evconnlistener* listener_ = nullptr;
+  std::unique_ptr<AcceptPause> pause_;
   event* deliver_ = nullptr;
   uint16_t port_ = 0;
   std::unordered_map<PeerServerLink*, std::unique_ptr<PeerServerLink>> links_;
--- a/testsuite/wire_http/wire_http_test.cc
+++ b/testsuite/wire_http/wire_http_test.cc
@@ -1,4 +1,7 @@
+#include <event2/event.h>
 #include <gtest/gtest.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
 #include <stdexcept>
 #include <thread>
@@ -246,6 +249,59 @@
   EXPECT_LE(server_->connections(), 2U);
 }
 
+int accept_warnings = 0;
+
+/// Takes file descriptors until none is left; gives them back at its end.
+class AllDescriptors {
+ public:
+  AllDescriptors() {
+    getrlimit(RLIMIT_NOFILE, &before_);
+    constexpr rlim_t kFew = 200;
+    const rlimit few{kFew, before_.rlim_max};
+    setrlimit(RLIMIT_NOFILE, &few);
+    for (int fd = dup(0); fd >= 0; fd = dup(0)) taken_.push_back(fd);
+  }
+  AllDescriptors(const AllDescriptors&) = delete;
+  AllDescriptors& operator=(const AllDescriptors&) = delete;
+  ~AllDescriptors() {
+    GiveBack(taken_.size());
+    setrlimit(RLIMIT_NOFILE, &before_);
+  }
+
+  void GiveBack(size_t count) {
+    for (; count > 0; --count) {
+      close(taken_.back());
+      taken_.pop_back();
+    }
+  }
+
+ private:
+  rlimit before_{};
+  std::vector<int> taken_;
+};
+
+// The process has no file descriptor left. A connection that cannot be
+// accepted keeps waking the loop, which does nothing else but fail; the warning
+// would be logged thousands of times a second.
+TEST_F(HttpTest, LackOfDescriptorsDoesNotSpin) {
+  Listen(Echo);
+  event_set_log_callback([](int, const char*) { ++accept_warnings; });
+  std::string answer;
+  {
+    AllDescriptors all;
+    all.GiveBack(1);
+    RawSocket socket = RawSocket::Connect(server_->port());
+    loop_.At(Clock::now() + 3 * kShort, [&] { all.GiveBack(20); });
+    RunBeside([&] {
+      socket.Send("GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+      answer = socket.ReadAll();
+    });
+  }
+  event_set_log_callback(nullptr);
+  EXPECT_TRUE(StartsWith(answer, "HTTP/1.1 200 ")) << answer;
+  EXPECT_EQ(accept_warnings, 0);
+}
+
 // A caller gives up while its statement waits in a queue. Without being told,
 // the server would go on to run it for nobody.
 TEST_F(HttpTest, ClientGoneBeforeTheAnswerIsNoticed) {
