--- a/src/include/ryefold/core/group/leadership.h
+++ b/src/include/ryefold/core/group/leadership.h
@@ -53,6 +53,12 @@
   /// A proposal for `cause` has begun.
   void Proposed(PromotionCause cause);
 
+  /// Whether the replicas have to be asked at once whether they still stand
+  /// where they did, since the primary is suspected of being cut off. A status
+  /// on a slow network may be a second old: only one that was asked for after
+  /// the suspicion can confirm it. True once for each suspicion.
+  bool TakeProofWanted(TimePoint now);
+
   bool primary_leaving() const;
   /// Whether a majority answers, so that a new primary is possible at all.
   bool majority_reachable(TimePoint now, const Health& health) const;
@@ -63,6 +69,9 @@
   bool SuccessorLevel(const Health& health) const;
   /// Whether a majority besides the primary answers: somebody to take over.
   bool OthersReachable(TimePoint now, const Health& health) const;
+  /// Whether a majority besides the primary has answered calls that were sent
+  /// at `since` or later, while none of it had moved.
+  bool StillBehind(TimePoint since, const Confirmation& confirmation) const;
   void UpdatePrimary(const Health& health);
   void UpdateStray(TimePoint now, const Health& health);
   void UpdateProgress(TimePoint now, const Health& health,
@@ -76,8 +85,10 @@
   uint64_t highest_term_ = 0;
   /// When the absence of a primary, or a stray term, has lasted long enough.
   std::optional<TimePoint> stray_until_;
-  /// When the primary counts as cut off, unless a replica moves before.
+  /// When the primary is suspected of being cut off, unless a replica moves.
   std::optional<TimePoint> progress_until_;
+  bool proof_wanted_ = false;
+  bool cut_off_ = false;
   LogPosition confirmed_;
   LogPosition best_replica_;
   /// Doublings of `unconfirmed_after`: replicas that lag that far look just
--- a/src/libcore/group/keeper_control.cc
+++ b/src/libcore/group/keeper_control.cc
@@ -106,12 +106,22 @@
     }
   }
   SendProposalCalls();
+  if (leadership_.TakeProofWanted(now_)) AskReplicas();
   if (!leadership_.primary().empty()) {
     patience_until_ = now_ + 2 * timing_.lost_after;
   }
   if (primary_open()) gap_until_.reset();
 }
 
+void Keeper::Impl::AskReplicas() {
+  for (const DatabaseSpec& spec : group_.databases) {
+    const bool replica = spec.database != leadership_.primary();
+    if (replica && health_.reachable(now_, spec.database)) {
+      AskNow(spec.database);
+    }
+  }
+}
+
 void Keeper::Impl::SendProposalCalls() {
   for (ProposalCall& proposal : promotion_.TakeCalls()) {
     const bool adopt = std::holds_alternative<AdoptCall>(proposal.call);
--- a/src/libcore/group/keeper_impl.h
+++ b/src/libcore/group/keeper_impl.h
@@ -72,6 +72,7 @@
              TimePoint sent, bool waited);
   void DrivePromotion();
   void SendProposalCalls();
+  void AskReplicas();
   void DriveFollowing();
   void DropLostDatabases();
   void SendSettleCalls();
--- a/src/libcore/group/leadership.cc
+++ b/src/libcore/group/leadership.cc
@@ -118,7 +118,29 @@
     progress_until_.reset();
   } else if (!progress_until_ || moved) {
     progress_until_ = now + timing_.unconfirmed_after * (1 << doublings_);
+    proof_wanted_ = true;
   }
+  cut_off_ = progress_until_ && now >= *progress_until_ &&
+             StillBehind(*progress_until_, confirmation);
+}
+
+bool Leadership::StillBehind(TimePoint since,
+                             const Confirmation& confirmation) const {
+  const auto asked = std::count_if(
+      group_.databases.begin(), group_.databases.end(),
+      [this, since, &confirmation](const DatabaseSpec& spec) {
+        return spec.database != primary_ &&
+               confirmation.HeardAt(spec.database, term_) >= since;
+      });
+  return static_cast<size_t>(asked) >= Majority(group_.databases.size());
+}
+
+bool Leadership::TakeProofWanted(TimePoint now) {
+  if (!progress_until_ || now < *progress_until_ || !proof_wanted_) {
+    return false;
+  }
+  proof_wanted_ = false;
+  return true;
 }
 
 bool Leadership::majority_reachable(TimePoint now, const Health& health) const {
@@ -161,9 +183,7 @@
     return due ? PromotionCause::kNoPrimary : PromotionCause::kNone;
   }
   if (health.lost(now, primary_)) return PromotionCause::kPrimaryLost;
-  if (progress_until_ && now >= *progress_until_) {
-    return PromotionCause::kPrimaryCutOff;
-  }
+  if (cut_off_) return PromotionCause::kPrimaryCutOff;
   if (primary_leaving()) {
     const bool successor = std::any_of(
         group_.databases.begin(), group_.databases.end(),
@@ -206,6 +226,7 @@
   stray_until_.reset();
   handover_until_.reset();
   progress_until_.reset();
+  cut_off_ = false;
   if (cause == PromotionCause::kPrimaryCutOff) {
     doublings_ = std::min(doublings_ + 1, kMaxDoublings);
   }
--- a/testsuite/support/group/failover_trial.h
+++ b/testsuite/support/group/failover_trial.h
@@ -62,7 +62,9 @@
   /// Runs on under a disturbance that must not cause a promotion.
   FailoverResult Disturb(Duration stall, Duration network_delay) {
     group_["a"].stall = stall;
-    group_.keeper(0).extra_delay["a"] = network_delay;
+    for (const char* name : {"a", "b", "c"}) {
+      group_.keeper(0).extra_delay[name] = network_delay;
+    }
     group_["a"].shape().peer_delay += network_delay;
     group_["b"].shape().peer_delay += network_delay;
     group_["c"].shape().peer_delay += network_delay;
