--- a/testsuite/group_outcomes/at_most_once_test.cc
+++ b/testsuite/group_outcomes/at_most_once_test.cc
@@ -66,6 +66,30 @@
   EXPECT_EQ(Text(group->HealAndCheck()), "");
 }
 
+// A keeper that sees only the cut-off primary has a write run there, where no
+// replica confirms it. Its caller repeats it through another keeper, under the
+// new primary. When the first keeper learns that its entry was discarded, the
+// write itself was done all the same: "not run" would have it ordered again.
+TEST(AtMostOnce, ADiscardedWriteThatWasRepeatedElsewhereIsDone) {
+  auto group = ReadyGroup();
+  group->AddKeeper();
+  group->time().RunFor(seconds(1));
+  (*group)["a"].peers_cut = true;
+  group->keeper(0).cut = {"b", "c"};
+  group->keeper(1).cut = {"a"};
+  const auto request = group->Write(seconds(20));
+  const auto first = group->Send(0, request);
+  group->time().RunFor(seconds(3));
+  const auto second = group->Send(1, request, {}, /*repeat=*/true);
+  group->time().RunFor(milliseconds(100));
+  ASSERT_TRUE(group->asked(second).answer.has_value());
+  EXPECT_EQ(group->asked(second).answer->kind(), OutcomeKind::kDone);
+  EXPECT_FALSE(group->asked(first).answer.has_value());
+  EXPECT_EQ(Text(group->HealAndCheck()), "");
+  ASSERT_TRUE(group->asked(first).answer.has_value());
+  EXPECT_EQ(group->asked(first).answer->kind(), OutcomeKind::kDone);
+}
+
 // A statement outlives its caller's patience. Its answer must not reach the
 // next caller on the same connection.
 TEST(NoMixing, AConnectionWithAnUnfinishedStatementIsClosed) {
@@ -128,6 +152,7 @@
 TEST(Sessions, OneReplicaFarBehindHurtsNobody) {
   auto group = ReadyGroup();
   (*group)["b"].shape().lag = seconds(10);
+  const uint64_t before = group->keeper(0).executes;
   for (int i = 0; i < 50; ++i) {
     const auto write = group->Send(0, group->Write(seconds(1)));
     group->time().RunFor(milliseconds(20));
@@ -140,6 +165,7 @@
     EXPECT_TRUE(group->asked(read).answer->result_json().ends_with(" yes"));
     EXPECT_EQ(group->asked(read).answer->database(), "c");
   }
+  EXPECT_EQ(group->keeper(0).executes, before + 100);
 }
 
 }  // namespace
--- a/testsuite/support/group/fake_database.h
+++ b/testsuite/support/group/fake_database.h
@@ -395,8 +395,11 @@
                const std::vector<LogEntry>& tail) {
     if (dead || stream != stream_ || term < adopted_term_) return;
     // A gap: a part of the stream was lost. Begin a new one.
-    stream_live_ = from <= log_.entries().size();
-    if (!stream_live_) return;
+    if (from > log_.entries().size()) {
+      BreakStream();
+      return;
+    }
+    stream_live_ = true;
     const size_t common = log_.CommonWith(from, tail);
     if (common == from + tail.size()) return;
     if (common < log_.entries().size()) log_.Truncate(common);
