Reads routed in vain are bounded for each event

With a full queue of reads that no database could serve, every event routed all 2,000 of them again: a loop of 100,000 reads did not end within 30 s.

--- a/src/include/ryefold/core/group/reads.h
+++ b/src/include/ryefold/core/group/reads.h
@@ -26,6 +26,10 @@
   /// Empty when there is none.
   const std::string& primary;
   uint64_t term = 0;
+  /// When a majority last vouched for the term, and when the call was sent
+  /// that the primary answered last.
+  TimePoint vouched;
+  TimePoint heard;
 };
 
 /// One read that waits to be routed.
--- a/src/libcore/group/keeper_impl.h
+++ b/src/libcore/group/keeper_impl.h
@@ -93,10 +93,11 @@
   bool ConfirmationTooSlow(TimePoint deadline) const;
   void Pump();
   bool AnySlotFree() const;
-  bool CanRun(const admission::Ticket& ticket);
+  bool AnyReadPossible() const;
+  bool CanRun(const admission::Ticket& ticket, const ReadView& view);
   bool CanRunInTransaction(PendingRequest* pending);
   bool CanRunOnPrimary(PendingRequest* pending);
-  bool CanRunRead(PendingRequest* pending);
+  bool CanRunRead(PendingRequest* pending, const ReadView& view);
   void Start(PendingRequest* pending);
   void EndTransactionsOnLeaving();
   void CloseTransaction(const std::string& id);
@@ -166,6 +167,8 @@
   /// Set while pumping: where the ticket looked at last may run.
   std::string target_;
   ConnectionId target_connection_ = 0;
+  bool reads_open_ = false;
+  uint32_t routes_left_ = 0;
   /// When the newest read that waits for a round arrived.
   std::optional<TimePoint> round_wanted_;
   /// A waiting read is looked at again then.
--- a/src/libcore/group/keeper_requests.cc
+++ b/src/libcore/group/keeper_requests.cc
@@ -14,6 +14,10 @@
 /// When to come back while the group cannot have a primary at all.
 constexpr milliseconds kRetryAfterGivenUp{500};
 constexpr milliseconds kMinRetryAfter{20};
+/// Reads that may be routed in vain for one event. While many wait for a
+/// replica to catch up, each event would otherwise route all of them again, and
+/// the keeper would have time for nothing else.
+constexpr uint32_t kRoutesPerEvent = 64;
 
 milliseconds MaxAgeOf(const StatementRequest& request,
                       const std::vector<WorkspacePolicy>& workspaces) {
@@ -130,12 +134,16 @@
 }
 
 ReadView Keeper::Impl::read_view() const {
+  const std::string& primary = leadership_.primary();
+  const uint64_t term = std::max<uint64_t>(leadership_.term(), 1);
   return {group_,
           health_,
           confirmation_,
           pool_,
-          leadership_.primary(),
-          std::max<uint64_t>(leadership_.term(), 1)};
+          primary,
+          term,
+          confirmation_.VouchedAt(term),
+          confirmation_.HeardAt(primary, term)};
 }
 
 bool Keeper::Impl::AnySlotFree() const {
@@ -149,21 +157,36 @@
   round_wanted_.reset();
   look_again_ = TimePoint::max();
   wanted_ = queue_.waiting();
+  const ReadView view = read_view();
+  routes_left_ = kRoutesPerEvent;
   // A full group is not worth the walk over everything that waits.
   while (queue_.size() > 0 && AnySlotFree()) {
-    const auto ticket = queue_.Pop(
-        now_, [this](const admission::Ticket& next) { return CanRun(next); });
+    reads_open_ = AnyReadPossible();
+    const auto ticket =
+        queue_.Pop(now_, [this, &view](const admission::Ticket& next) {
+          return CanRun(next, view);
+        });
     if (!ticket.has_value()) return;
     if (PendingRequest* pending = Find(ticket->tag)) Start(pending);
   }
 }
 
-bool Keeper::Impl::CanRun(const admission::Ticket& ticket) {
+bool Keeper::Impl::AnyReadPossible() const {
+  return std::any_of(group_.databases.begin(), group_.databases.end(),
+                     [this](const DatabaseSpec& spec) {
+                       return !spec.leaving && pool_.HasSlot(spec.database) &&
+                              pool_.IdleOn(spec.database).has_value() &&
+                              health_.reachable(now_, spec.database);
+                     });
+}
+
+bool Keeper::Impl::CanRun(const admission::Ticket& ticket,
+                          const ReadView& view) {
   PendingRequest* pending = Find(ticket.tag);
   if (pending == nullptr) return false;
   if (pending->in_transaction()) return CanRunInTransaction(pending);
   if (pending->needs_primary()) return CanRunOnPrimary(pending);
-  return CanRunRead(pending);
+  return CanRunRead(pending, view);
 }
 
 bool Keeper::Impl::CanRunInTransaction(PendingRequest* pending) {
@@ -193,13 +216,14 @@
   return true;
 }
 
-bool Keeper::Impl::CanRunRead(PendingRequest* pending) {
-  const ReadView view = read_view();
+bool Keeper::Impl::CanRunRead(PendingRequest* pending, const ReadView& view) {
   if (reads_.NeedsRound(view, &pending->read)) {
     round_wanted_ =
         std::max(round_wanted_.value_or(TimePoint{}), pending->read.arrived);
     return false;
   }
+  if (!reads_open_ || routes_left_ == 0) return false;
+  --routes_left_;
   const routing::Route route =
       reads_.Choose(now_, view, pending->read, pending->request.deadline);
   if (route.kind == routing::RouteKind::kWait) {
@@ -211,6 +235,7 @@
   }
   const auto idle = pool_.IdleOn(route.database);
   if (!idle.has_value()) return false;
+  ++routes_left_;
   target_ = route.database;
   target_connection_ = *idle;
   return true;
--- a/src/libcore/group/reads.cc
+++ b/src/libcore/group/reads.cc
@@ -52,12 +52,12 @@
 
 bool Reads::NeedsRound(const ReadView& view, ReadState* read) const {
   if (read->floor.has_value()) return false;
-  const TimePoint vouched = view.confirmation.VouchedAt(view.term);
-  if (read->max_age > milliseconds(0)) return vouched < OldestAccepted(*read);
+  if (read->max_age > milliseconds(0)) {
+    return view.vouched < OldestAccepted(*read);
+  }
+  if (std::min(view.vouched, view.heard) < read->arrived) return true;
   const DatabaseStatus* primary = view.health.status(view.primary);
-  const TimePoint heard = view.confirmation.HeardAt(view.primary, view.term);
   if (primary == nullptr || primary->adopted_term != view.term) return true;
-  if (std::min(vouched, heard) < read->arrived) return true;
   read->floor = primary->last;
   return false;
 }
@@ -77,7 +77,6 @@
 
 routing::Route Reads::Choose(TimePoint now, const ReadView& view,
                              const ReadState& read, TimePoint deadline) const {
-  const TimePoint vouched = view.confirmation.VouchedAt(view.term);
   routing::ReadNeeds needs;
   needs.max_age = read.max_age;
   needs.near = near_;
@@ -108,7 +107,7 @@
         read.floor.has_value() &&
         HoldsEntry(status->last, status->term_starts, *read.floor);
     candidate.age =
-        level ? milliseconds(0) : ages_.AgeAt(now, status->last, vouched);
+        level ? milliseconds(0) : ages_.AgeAt(now, status->last, view.vouched);
     if (!level && read.max_age == milliseconds(0)) {
       candidate.age = std::max(candidate.age, milliseconds(1));
     }
@@ -121,10 +120,8 @@
 }
 
 bool Reads::StartRound(TimePoint now, const ReadView& view, TimePoint wanted) {
-  const TimePoint vouched = view.confirmation.VouchedAt(view.term);
-  const TimePoint heard = view.confirmation.HeardAt(view.primary, view.term);
   const bool over =
-      std::min(vouched, heard) >= round_begun_ || now >= round_until_;
+      std::min(view.vouched, view.heard) >= round_begun_ || now >= round_until_;
   if (!over || wanted > now) return false;
   round_begun_ = now;
   round_until_ = now + kRoundPatience;
