--- a/src/include/ryefold/core/membership/roster.h
+++ b/src/include/ryefold/core/membership/roster.h
@@ -75,6 +75,17 @@
     uint64_t hash = 0;
   };
 
+  /// First in rank for one group, and the region that they come from.
+  struct Order {
+    std::string region;
+    std::vector<std::string> names;
+  };
+
+  /// Forgets the orders that a change from `before` to the present members
+  /// can have touched.
+  void DropStale(const std::map<std::string, Member>& before);
+  bool Touches(const std::string& group, const Order& order,
+               const Candidate& added) const;
   std::string RegionOf(const std::string& group) const;
   std::vector<std::string> Sorted(const std::string& group, size_t most) const;
 
@@ -83,9 +94,9 @@
   std::vector<Candidate> instances_;
   std::map<std::string, std::vector<std::string>> databases_;
   std::map<std::string, Suspicion> suspicions_;
-  /// Orders worked out since the last `SetMembers`. Entries ask for one with
-  /// each request; hashing the fleet each time would cost a core.
-  mutable std::unordered_map<std::string, std::vector<std::string>> orders_;
+  /// Orders worked out so far. Entries ask for one with each request; hashing
+  /// the fleet each time would cost a core.
+  mutable std::unordered_map<std::string, Order> orders_;
 };
 
 }  // namespace ryefold::core::membership
--- a/src/libcore/membership/roster.cc
+++ b/src/libcore/membership/roster.cc
@@ -11,6 +11,8 @@
 
 /// Instances kept in a worked-out order.
 constexpr size_t kRanks = 16;
+/// With more instances changed than this all orders are worked out anew.
+constexpr size_t kManyChanged = 32;
 
 uint64_t HashOf(const std::string& name) {
   return XXH64(name.data(), name.size(), 0);
@@ -26,10 +28,10 @@
 Roster::Roster(RosterTiming timing) : timing_(timing) {}
 
 void Roster::SetMembers(const std::vector<Member>& members) {
+  const std::map<std::string, Member> before = std::move(members_);
   members_.clear();
   instances_.clear();
   databases_.clear();
-  orders_.clear();
   for (const Member& member : members) members_[member.name] = member;
   for (const auto& [name, member] : members_) {
     if (member.kind == MemberKind::kInstance) {
@@ -41,6 +43,47 @@
   std::erase_if(suspicions_, [this](const auto& entry) {
     return !members_.contains(entry.first);
   });
+  DropStale(before);
+}
+
+void Roster::DropStale(const std::map<std::string, Member>& before) {
+  std::vector<Candidate> added;
+  std::vector<std::string> changed;
+  for (const Candidate& candidate : instances_) {
+    const auto old = before.find(candidate.member->name);
+    if (old != before.end() && old->second == *candidate.member) continue;
+    added.push_back(candidate);
+    changed.push_back(candidate.member->name);
+  }
+  for (const auto& [name, member] : before) {
+    const bool instance = member.kind == MemberKind::kInstance;
+    if (instance && !members_.contains(name)) changed.push_back(name);
+  }
+  if (changed.size() > kManyChanged) {
+    orders_.clear();
+    return;
+  }
+  std::erase_if(orders_, [&](const auto& entry) {
+    const auto& [group, order] = entry;
+    const auto holds = [&](const std::string& name) {
+      return std::find(order.names.begin(), order.names.end(), name) !=
+             order.names.end();
+    };
+    return order.names.size() < kRanks || RegionOf(group) != order.region ||
+           std::any_of(changed.begin(), changed.end(), holds) ||
+           std::any_of(added.begin(), added.end(), [&](const Candidate& one) {
+             return Touches(group, order, one);
+           });
+  });
+}
+
+bool Roster::Touches(const std::string& group, const Order& order,
+                     const Candidate& added) const {
+  const Member& last = members_.at(order.names.back());
+  if (last.state != MemberState::kLive) return true;
+  if (added.member->state != MemberState::kLive) return false;
+  const uint64_t hash = HashOf(group);
+  return Score(hash, added.hash) >= Score(hash, HashOf(last.name));
 }
 
 void Roster::Suspect(TimePoint now, const std::string& instance) {
@@ -111,8 +154,11 @@
 const std::vector<std::string>& Roster::Intended(
     const std::string& group) const {
   const auto found = orders_.find(group);
-  if (found != orders_.end()) return found->second;
-  return orders_.emplace(group, Sorted(group, kRanks)).first->second;
+  if (found != orders_.end()) return found->second.names;
+  Order& order = orders_[group];
+  order.region = RegionOf(group);
+  order.names = Sorted(group, kRanks);
+  return order.names;
 }
 
 std::vector<std::string> Roster::Ranked(TimePoint now,
--- a/testsuite/membership_roster/roster_test.cc
+++ b/testsuite/membership_roster/roster_test.cc
@@ -55,6 +55,42 @@
   }
 }
 
+// Orders are kept from one list to the next where nothing touches them. Kept
+// wrongly, this instance would send a group's requests to another keeper than
+// all others do.
+RC_GTEST_PROP(Roster, OrdersKeptAreThoseWorkedOutAnew, ()) {
+  std::vector<Member> members = Instances(30, 2);
+  for (const char* name : {"a", "b", "c"}) {
+    members.push_back(DatabaseIn(name, "r0"));
+  }
+  Roster kept;
+  const auto steps = *rc::gen::container<std::vector<size_t>>(
+      12, rc::gen::inRange<size_t>(0, 1000));
+  for (const size_t step : steps) {
+    Member& member = members[step % members.size()];
+    const size_t what = step / members.size() % 4;
+    if (what == 0) {
+      member.state = member.state == MemberState::kLive ? MemberState::kLeaving
+                                                        : MemberState::kLive;
+    } else if (what == 1) {
+      member.region = member.region == "r0" ? "r1" : "r0";
+    } else if (what == 2 && members.size() > 20) {
+      members.erase(members.begin() +
+                    static_cast<ptrdiff_t>(step % members.size()));
+    } else {
+      Member added = Instances(1).front();
+      added.name = "n" + std::to_string(step);
+      members.push_back(added);
+    }
+    kept.SetMembers(members);
+    Roster fresh;
+    fresh.SetMembers(members);
+    for (const std::string& group : {std::string("g"), Group(1), Group(2)}) {
+      RC_ASSERT(kept.Intended(group) == fresh.Intended(group));
+    }
+  }
+}
+
 TEST(Roster, GroupsAreSpreadEvenly) {
   Roster roster;
   roster.SetMembers(Instances(100));
