--- a/src/ryefoldctl/client.cc
+++ b/src/ryefoldctl/client.cc
@@ -1,105 +1,69 @@
 #include "ryefoldctl/client.h"
 
-#include <event2/event.h>
-
-#include <algorithm>
-#include <memory>
+#include <utility>
 
+#include "ryefold/task/loop.h"
 #include "ryefold/wire/http.h"
 
 namespace ryefold::ryefoldctl {
 namespace {
 
-using std::chrono::steady_clock;
-
-constexpr int kUnavailable = 503;
-/// Longest time that one instance is given to answer.
-constexpr std::chrono::seconds kCallTime{12};
+/// Longer than an instance takes to give up a publication.
+constexpr std::chrono::seconds kCallTime{8};
 
 }  // namespace
 
-bool Client::expired() const { return steady_clock::now() >= access_.deadline; }
+Client::Client(std::vector<std::string> servers, std::string admin_key)
+    : servers_(std::move(servers)), admin_key_(std::move(admin_key)) {}
+Client::~Client() = default;
 
-Response Client::Get(const std::string& path) { return Call("GET", path, ""); }
+Reply Client::Get(const std::string& path) { return Call("GET", path, ""); }
 
-Response Client::Post(const std::string& path, const Json::Value& body) {
-  return Call("POST", path, ToText(body));
+Reply Client::Post(const std::string& path, const std::string& body) {
+  return Call("POST", path, body);
 }
 
-Response Client::Call(const std::string& method, const std::string& path,
-                      const std::string& body) {
-  Response last;
-  bool lost = false;
-  for (size_t i = 0; i < access_.servers.size() && !expired(); ++i) {
-    const size_t at = (preferred_ + i) % access_.servers.size();
-    last = CallOne(access_.servers[at], method, path, body);
-    lost = lost || last.lost;
-    if (last.status != 0 && last.status != kUnavailable) {
-      preferred_ = at;
-      break;
-    }
-  }
-  last.lost = lost;
-  return last;
+Reply Client::GetFrom(const std::string& server, const std::string& path) {
+  return CallOne(server, "GET", path, "");
 }
 
-Response Client::CallOne(const std::string& server, const std::string& method,
-                         const std::string& path, const std::string& body) {
-  const std::unique_ptr<event_base, decltype(&event_base_free)> base(
-      event_base_new(), &event_base_free);
-  Response response;
-  response.server = server;
-  {
-    wire::HttpClient client(base.get());
-    const auto deadline =
-        std::min(access_.deadline, steady_clock::now() + kCallTime);
-    client.Call(server, method, path, body, deadline,
-                [&](const wire::HttpResult& result) {
-                  response.lost = result.status == wire::CallStatus::kLost;
-                  if (result.status == wire::CallStatus::kOk) {
-                    response.status = result.code;
-                    response.body =
-                        ParseJson(result.body).value_or(Json::Value());
-                  }
-                  event_base_loopbreak(base.get());
-                },
-                {{"Authorization", "Bearer " + access_.admin_key}});
-    event_base_dispatch(base.get());
-  }
-  return response;
+Reply Client::PostTo(const std::string& server, const std::string& path,
+                     const std::string& body) {
+  return CallOne(server, "POST", path, body);
 }
 
-std::string ToText(const Json::Value& value) {
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  return Json::writeString(builder, value);
-}
-
-std::optional<Json::Value> ParseJson(const std::string& text) {
-  const Json::CharReaderBuilder builder;
-  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-  Json::Value value;
-  const char* begin = text.data();
-  if (!reader->parse(begin, begin + text.size(), &value, nullptr)) {
-    return std::nullopt;
+Reply Client::Call(const std::string& method, const std::string& path,
+                   const std::string& body) {
+  Reply reply;
+  for (size_t i = 0; i < servers_.size(); ++i) {
+    reply = CallOne(servers_[next_ % servers_.size()], method, path, body);
+    if (reply.reached) return reply;
+    ++next_;
+    // What may have taken effect is not simply sent again elsewhere: the
+    // caller decides, with the same change id.
+    if (reply.lost) return reply;
   }
-  return value;
+  return reply;
 }
 
-std::string Escape(const std::string& text) {
-  constexpr std::string_view kHex = "0123456789ABCDEF";
-  std::string escaped;
-  for (const char c : text) {
-    const auto byte = static_cast<unsigned char>(c);
-    if (std::isalnum(byte) != 0 || c == '-' || c == '_' || c == '.') {
-      escaped += c;
-      continue;
-    }
-    escaped += '%';
-    escaped += kHex[byte >> 4];
-    escaped += kHex[byte & 0xF];
-  }
-  return escaped;
+Reply Client::CallOne(const std::string& server, const std::string& method,
+                      const std::string& path, const std::string& body) {
+  Reply reply;
+  reply.server = server;
+  task::Loop loop;
+  wire::HttpClient http(loop.base());
+  http.Call(server, method, path, body,
+            std::chrono::steady_clock::now() + kCallTime,
+            [&](const wire::HttpResult& result) {
+              reply.reached = result.status == wire::CallStatus::kOk;
+              reply.lost = result.status == wire::CallStatus::kLost;
+              reply.status = result.code;
+              reply.body = result.body;
+              loop.Stop();
+            },
+            {{"Authorization", "Bearer " + admin_key_}});
+  loop.Run();
+  return reply;
 }
 
 }  // namespace ryefold::ryefoldctl
--- a/src/ryefoldctl/table.h
+++ b/src/ryefoldctl/table.h
@@ -1,18 +1,19 @@
 #pragma once
 
-// Plain text tables.
+// Plain tables for terminals.
 
+#include <ostream>
 #include <string>
 #include <vector>
 
 namespace ryefold::ryefoldctl {
 
+/// Rows under a header, columns as wide as their widest text.
 class Table {
  public:
-  explicit Table(std::vector<std::string> head) { rows_.push_back(head); }
-  void Add(std::vector<std::string> row) { rows_.push_back(std::move(row)); }
-  /// Columns as wide as their widest cell, two blanks between them.
-  std::string ToText() const;
+  explicit Table(std::vector<std::string> header);
+  void Add(std::vector<std::string> row);
+  void Print(std::ostream* out) const;
 
  private:
   std::vector<std::vector<std::string>> rows_;
