Bound the calls of a storm; spread refusals before any measure

The storm test now bounds refusals to three for each request of the stall. Without jitter the storm test sees nothing, since the spacing suffices there; 500 callers refused by a keeper that has measured nothing yet would all return in the same 10 ms.

A ticket without time of arrival arrives now: its time to run was worked out from the epoch, and it was given up at the next look.

--- a/src/libcore/admission/queue_impl.cc
+++ b/src/libcore/admission/queue_impl.cc
@@ -110,6 +110,7 @@
 
 std::vector<Refusal> Queue::Impl::Push(TimePoint now, Ticket ticket) {
   Advance(now);
+  if (ticket.enqueued == TimePoint()) ticket.enqueued = now;
   std::vector<Refusal> refused;
   if (const auto reason = Judge(now, ticket)) {
     refused.push_back(Refuse(now, ticket, *reason));
--- a/testsuite/admission_overload/overload_test.cc
+++ b/testsuite/admission_overload/overload_test.cc
@@ -92,6 +92,12 @@
   // What was asked for meanwhile takes three seconds to make up for at best.
   EXPECT_LE(storm.backlog_done(), up + milliseconds(6000));
   EXPECT_LE(storm.last_refusal(), up + milliseconds(6000));
+  // Each refusal is a call that the instances have to carry: of those asked
+  // for in the stall, no more than three each.
+  const double asked = 3 * 0.5 * scenario.capacity();
+  const uint64_t refused =
+      storm.tally("gold").refused + storm.tally("bronze").refused;
+  EXPECT_LE(static_cast<double>(refused), 3 * asked);
   EXPECT_LE(storm.tally("gold").arrived - storm.tally("gold").served,
             scenario.slots);
 }
--- a/testsuite/admission_queue/queue_test.cc
+++ b/testsuite/admission_queue/queue_test.cc
@@ -332,6 +332,29 @@
   }
 }
 
+// The same before the group's rate was ever measured, say on a new keeper.
+TEST(Queue, RefusedCallersComeBackSpreadOutWithoutAMeasure) {
+  Queue queue({Policy("gold", 0)}, 10000, 7);
+  for (uint64_t tag = 1; tag <= 500; ++tag) {
+    queue.Push(At(0), TicketOf(tag, "gold", 0, 60000));
+  }
+  std::map<int64_t, int> per_10_ms;
+  for (const Refusal& refusal : queue.Drop(At(0), Reason::kNoPrimary, Always)) {
+    ++per_10_ms[refusal.retry_after.count() / 10];
+  }
+  for (const auto& [time, callers] : per_10_ms) EXPECT_LE(callers, 100) << time;
+}
+
+// A keeper takes no time of arrival for granted.
+TEST(Queue, ATicketWithoutTimeOfArrivalArrivesNow) {
+  Queue queue({Policy("gold", 0)}, 10000);
+  const int64_t now = Measure(&queue, 1000000, 10);
+  Ticket ticket = TicketOf(1, "gold", now, now + 1000);
+  ticket.enqueued = TimePoint();
+  queue.Push(At(now), ticket);
+  EXPECT_TRUE(queue.Expire(At(now + 500)).empty());
+}
+
 TEST(Queue, NewPoliciesApplyToWhatWaits) {
   Queue queue({Policy("a", 0), Policy("b", 1)}, 10);
   queue.Push(At(0), TicketOf(1, "a", 0, 1000));
