Daemon and tool linted; deleted keys can be published anew

The list of documents now tells the versions of deleted keys; without them a key that had been deleted could never be published again, each try being a conflict with the deletion.

--- a/src/bench/load.cc
+++ b/src/bench/load.cc
@@ -147,8 +147,9 @@
       ++tally_->unknown;
     } else {
       ++tally_->other;
-      if (tally_->other < 3)
+      if (tally_->other < 3) {
         std::cerr << result.code << " " << result.body << "\n";
+      }
     }
     Next();
   }
@@ -189,6 +190,7 @@
       htons(static_cast<uint16_t>(std::stoi(target.substr(colon + 1))));
   inet_pton(AF_INET, target.substr(0, colon).c_str(), &address.sin_addr);
   std::vector<int> sockets;
+  sockets.reserve(static_cast<size_t>(count));
   for (int i = 0; i < count; ++i) {
     const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const auto* peer = reinterpret_cast<const sockaddr*>(&address);
--- a/src/ryefoldctl/answers.cc
+++ b/src/ryefoldctl/answers.cc
@@ -37,6 +37,12 @@
     published->versions[key] = entry["version"].asUInt64();
     published->texts[key] = entry["text"].asString();
   }
+  const Json::Value& deleted = value["deleted"];
+  if (!deleted.isObject()) return true;
+  for (const std::string& key : deleted.getMemberNames()) {
+    if (!deleted[key].isUInt64()) return false;
+    published->versions[key] = deleted[key].asUInt64();
+  }
   return true;
 }
 
--- a/src/ryefoldctl/answers.h
+++ b/src/ryefoldctl/answers.h
@@ -17,6 +17,7 @@
 struct Published {
   uint64_t revision = 0;
   settings::Documents texts;
+  /// Of deleted keys too, which have no text.
   std::map<std::string, uint64_t> versions;
 };
 
--- a/src/ryefoldctl/main.cc
+++ b/src/ryefoldctl/main.cc
@@ -24,7 +24,7 @@
 };
 
 const std::map<std::string, Command>& Commands() {
-  static const auto* const kCommands = new std::map<std::string, Command>{
+  static const auto* const commands = new std::map<std::string, Command>{
       {"validate",
        {Validate, "FILE",
         "Reports every finding in a file of documents. With --server, names "
@@ -54,7 +54,7 @@
        {Drain, "INSTANCE",
         "Lets an instance finish what it has in progress and end.", true}},
   };
-  return *kCommands;
+  return *commands;
 }
 
 void PrintHelp(const cxxopts::Options& options) {
--- a/src/ryefoldd/access.cc
+++ b/src/ryefoldd/access.cc
@@ -27,11 +27,14 @@
   const auto found = catalog.workspaces.find(workspace);
   if (key.empty() || found == catalog.workspaces.end()) return nullptr;
   const auto known = known_.find(workspace);
-  if (known != known_.end() && settings::SameKey(known->second, key))
+  if (known != known_.end() && settings::SameKey(known->second, key)) {
     return &found->second;
+  }
   const core::WorkspaceSpec& spec = found->second;
-  if (!settings::SameKey(settings::HashKey(spec.key_salt, key), spec.key_hash))
+  if (!settings::SameKey(settings::HashKey(spec.key_salt, key),
+                         spec.key_hash)) {
     return nullptr;
+  }
   known_[workspace] = std::string(key);
   return &spec;
 }
--- a/src/ryefoldd/admin_codec.cc
+++ b/src/ryefoldd/admin_codec.cc
@@ -185,8 +185,15 @@
   Json::Value value;
   value["revision"] = Number(revision);
   value["documents"] = Json::Value(Json::objectValue);
+  value["deleted"] = Json::Value(Json::objectValue);
   for (const auto& [key, document] : documents) {
-    if (!document.text || key.compare(0, prefix.size(), prefix) != 0) continue;
+    if (key.compare(0, prefix.size(), prefix) != 0) continue;
+    if (!document.text) {
+      // A deleted key keeps its version: who publishes it anew has to name it,
+      // or every attempt would be a conflict with the deletion.
+      value["deleted"][key] = Number(document.version);
+      continue;
+    }
     Json::Value& entry = value["documents"][key];
     entry["version"] = Number(document.version);
     entry["text"] = *document.text;
--- a/src/ryefoldd/database_link.cc
+++ b/src/ryefoldd/database_link.cc
@@ -102,8 +102,9 @@
   std::weak_ptr<int> alive = alive_;
   if (address == addresses_.end()) {
     loop_->Post([this, alive, call] {
-      if (!alive.expired())
+      if (!alive.expired()) {
         Emit(core::group::ControlReturned{call, std::monostate{}});
+      }
     });
     return;
   }
--- a/src/ryefoldd/entry_task.cc
+++ b/src/ryefoldd/entry_task.cc
@@ -192,8 +192,9 @@
     return;
   }
   const uint64_t tag = next_tag_++;
-  if (request.request_id.empty())
+  if (request.request_id.empty()) {
     request.request_id = id_prefix_ + std::to_string(tag);
+  }
   const auto seen = caller.token.seen.find(request.group);
   if (seen != caller.token.seen.end()) request.seen = seen->second;
   waiting_.emplace(tag, Waiting{exchange, request.group, request.workspace,
--- a/src/ryefoldd/group_host.cc
+++ b/src/ryefoldd/group_host.cc
@@ -24,8 +24,9 @@
 std::map<std::string, std::string> AddressesOf(const core::GroupSpec& group) {
   std::map<std::string, std::string> addresses;
   for (const core::DatabaseSpec& database : group.databases) {
-    if (!database.address.empty())
+    if (!database.address.empty()) {
       addresses[database.database] = database.address;
+    }
   }
   return addresses;
 }
--- a/src/ryefoldd/keeper_task.cc
+++ b/src/ryefoldd/keeper_task.cc
@@ -134,8 +134,9 @@
 GroupHost* KeeperTask::HostFor(const std::string& group) {
   const auto found = hosts_.find(group);
   if (found != hosts_.end()) return found->second.get();
-  if (draining_ || !catalog_ || catalog_->groups.count(group) == 0)
+  if (draining_ || !catalog_ || catalog_->groups.count(group) == 0) {
     return nullptr;
+  }
   const GroupHost::Identity identity{
       wiring_->settings.name, wiring_->settings.failure_domain,
       wiring_->settings.keeper, std::random_device()()};
--- a/src/ryefoldd/main.cc
+++ b/src/ryefoldd/main.cc
@@ -158,8 +158,9 @@
   wire::Findings findings;
   const settings::InstanceSettings instance =
       settings::ParseInstanceSettings(flags.settings, text, &findings);
-  for (const wire::Finding& finding : findings)
+  for (const wire::Finding& finding : findings) {
     std::cerr << wire::ToText(finding) << "\n";
+  }
   if (!findings.empty()) return kExitFindings;
   if (flags.check) {
     std::cout << flags.settings << ": no findings\n";
--- a/src/ryefoldd/metrics.cc
+++ b/src/ryefoldd/metrics.cc
@@ -20,10 +20,10 @@
 using prometheus::Histogram;
 
 const Histogram::BucketBoundaries& LatencyBuckets() {
-  static const auto* const kBuckets = new Histogram::BucketBoundaries{
+  static const auto* const buckets = new Histogram::BucketBoundaries{
       0.0001, 0.0002, 0.0004, 0.0008, 0.0016, 0.0032, 0.0064, 0.0128,
       0.0256, 0.0512, 0.1024, 0.2048, 0.4096, 0.8192, 1.6384, 6.5536};
-  return *kBuckets;
+  return *buckets;
 }
 
 double Seconds(std::chrono::microseconds time) {
@@ -57,41 +57,41 @@
   };
 
   Impl()
-      : latency_(HistogramFamily("ryefold_request_seconds",
-                                 "Time to answer, by workspace")),
-        class_latency_(HistogramFamily("ryefold_class_request_seconds",
-                                       "Time to answer, by priority class")),
-        wait_(HistogramFamily(
+      : latency(HistogramFamily("ryefold_request_seconds",
+                                "Time to answer, by workspace")),
+        class_latency(HistogramFamily("ryefold_class_request_seconds",
+                                      "Time to answer, by priority class")),
+        wait(HistogramFamily(
             "ryefold_queue_wait_seconds",
             "Wait in the keeper's queue, by workspace and class")),
-        outcomes_(CounterFamily("ryefold_outcomes_total",
-                                "Answers by outcome and reason")),
-        replica_reads_(CounterFamily("ryefold_replica_answers_total",
-                                     "Answers served by a replica")),
-        rejected_(CounterFamily("ryefold_rejected_total",
-                                "Requests turned away, by status")),
-        restarts_(CounterFamily("ryefold_task_restarts_total",
-                                "Failed tasks restarted")),
-        store_calls_(CounterFamily("ryefold_store_calls_total",
-                                   "Calls to the platform")),
-        keeper_(GaugeFamily("ryefold_keeper",
-                            "State of a keeper, by group and figure")),
-        database_(GaugeFamily("ryefold_database",
-                              "State of a database as its keeper sees it")),
-        instance_(GaugeFamily("ryefold_instance",
-                              "State of this instance, by figure")) {}
+        outcomes(CounterFamily("ryefold_outcomes_total",
+                               "Answers by outcome and reason")),
+        replica_reads(CounterFamily("ryefold_replica_answers_total",
+                                    "Answers served by a replica")),
+        rejected(CounterFamily("ryefold_rejected_total",
+                               "Requests turned away, by status")),
+        restarts(CounterFamily("ryefold_task_restarts_total",
+                               "Failed tasks restarted")),
+        store_calls(CounterFamily("ryefold_store_calls_total",
+                                  "Calls to the platform")),
+        keeper_gauge(GaugeFamily("ryefold_keeper",
+                                 "State of a keeper, by group and figure")),
+        database_gauge(GaugeFamily(
+            "ryefold_database", "State of a database as its keeper sees it")),
+        instance_gauge(GaugeFamily("ryefold_instance",
+                                   "State of this instance, by figure")) {}
 
   PerWorkspace& Of(const std::string& workspace, uint32_t priority) {
-    PerWorkspace& entry = workspaces_[{workspace, priority}];
+    PerWorkspace& entry = workspaces[{workspace, priority}];
     if (entry.latency == nullptr) {
       const std::string level = std::to_string(priority);
       entry.latency =
-          &latency_.Add({{"workspace", workspace}}, LatencyBuckets());
+          &latency.Add({{"workspace", workspace}}, LatencyBuckets());
       entry.class_latency =
-          &class_latency_.Add({{"class", level}}, LatencyBuckets());
-      entry.wait = &wait_.Add({{"workspace", workspace}, {"class", level}},
-                              LatencyBuckets());
-      entry.replica_reads = &replica_reads_.Add({{"workspace", workspace}});
+          &class_latency.Add({{"class", level}}, LatencyBuckets());
+      entry.wait = &wait.Add({{"workspace", workspace}, {"class", level}},
+                             LatencyBuckets());
+      entry.replica_reads = &replica_reads.Add({{"workspace", workspace}});
     }
     return entry;
   }
@@ -100,7 +100,7 @@
                    const core::StatementAnswer& answer) {
     Counter*& counter = entry->outcomes[{answer.kind(), answer.reason()}];
     if (counter == nullptr) {
-      counter = &outcomes_.Add(
+      counter = &outcomes.Add(
           {{"workspace", workspace},
            {"outcome", std::string(OutcomeName(answer.kind()))},
            {"reason", std::string(core::ReasonName(answer.reason()))}});
@@ -110,39 +110,39 @@
 
   void KeeperFigure(const std::string& group, const std::string& figure,
                     double value) {
-    keeper_.Add({{"group", group}, {"figure", figure}}).Set(value);
+    keeper_gauge.Add({{"group", group}, {"figure", figure}}).Set(value);
   }
 
   void DatabaseFigure(const std::string& database, const std::string& figure,
                       double value) {
-    database_.Add({{"database", database}, {"figure", figure}}).Set(value);
+    database_gauge.Add({{"database", database}, {"figure", figure}}).Set(value);
   }
 
-  prometheus::Registry registry_;
-  mutable std::mutex mutex_;
-  std::map<std::pair<std::string, uint32_t>, PerWorkspace> workspaces_;
-  Family<Histogram>& latency_;
-  Family<Histogram>& class_latency_;
-  Family<Histogram>& wait_;
-  Family<Counter>& outcomes_;
-  Family<Counter>& replica_reads_;
-  Family<Counter>& rejected_;
-  Family<Counter>& restarts_;
-  Family<Counter>& store_calls_;
-  Family<Gauge>& keeper_;
-  Family<Gauge>& database_;
-  Family<Gauge>& instance_;
+  prometheus::Registry registry;
+  mutable std::mutex mutex;
+  std::map<std::pair<std::string, uint32_t>, PerWorkspace> workspaces;
+  Family<Histogram>& latency;
+  Family<Histogram>& class_latency;
+  Family<Histogram>& wait;
+  Family<Counter>& outcomes;
+  Family<Counter>& replica_reads;
+  Family<Counter>& rejected;
+  Family<Counter>& restarts;
+  Family<Counter>& store_calls;
+  Family<Gauge>& keeper_gauge;
+  Family<Gauge>& database_gauge;
+  Family<Gauge>& instance_gauge;
 
  private:
   Family<Histogram>& HistogramFamily(const char* name, const char* help) {
     return prometheus::BuildHistogram().Name(name).Help(help).Register(
-        registry_);
+        registry);
   }
   Family<Counter>& CounterFamily(const char* name, const char* help) {
-    return prometheus::BuildCounter().Name(name).Help(help).Register(registry_);
+    return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
   }
   Family<Gauge>& GaugeFamily(const char* name, const char* help) {
-    return prometheus::BuildGauge().Name(name).Help(help).Register(registry_);
+    return prometheus::BuildGauge().Name(name).Help(help).Register(registry);
   }
 };
 
@@ -152,7 +152,7 @@
 void Metrics::Answered(const std::string& workspace, uint32_t priority,
                        const core::StatementAnswer& answer,
                        std::chrono::microseconds latency) {
-  std::lock_guard<std::mutex> lock(impl_->mutex_);
+  std::lock_guard<std::mutex> lock(impl_->mutex);
   Impl::PerWorkspace& entry = impl_->Of(workspace, priority);
   entry.latency->Observe(Seconds(latency));
   entry.class_latency->Observe(Seconds(latency));
@@ -162,16 +162,16 @@
 
 void Metrics::Dequeued(const std::string& workspace, uint32_t priority,
                        std::chrono::microseconds waited) {
-  std::lock_guard<std::mutex> lock(impl_->mutex_);
+  std::lock_guard<std::mutex> lock(impl_->mutex);
   impl_->Of(workspace, priority).wait->Observe(Seconds(waited));
 }
 
 void Metrics::Rejected(int status) {
-  impl_->rejected_.Add({{"status", std::to_string(status)}}).Increment();
+  impl_->rejected.Add({{"status", std::to_string(status)}}).Increment();
 }
 
 void Metrics::TaskRestarted(const std::string& task) {
-  impl_->restarts_.Add({{"task", task}}).Increment();
+  impl_->restarts.Add({{"task", task}}).Increment();
 }
 
 void Metrics::Keepers(const std::vector<core::group::KeeperView>& views) {
@@ -204,31 +204,31 @@
 }
 
 void Metrics::CallerConnections(size_t open) {
-  impl_->instance_.Add({{"figure", "caller_connections"}})
+  impl_->instance_gauge.Add({{"figure", "caller_connections"}})
       .Set(static_cast<double>(open));
 }
 
 void Metrics::Configuration(uint64_t revision, bool ready) {
-  impl_->instance_.Add({{"figure", "revision"}})
+  impl_->instance_gauge.Add({{"figure", "revision"}})
       .Set(static_cast<double>(revision));
-  impl_->instance_.Add({{"figure", "ready"}}).Set(ready ? 1 : 0);
+  impl_->instance_gauge.Add({{"figure", "ready"}}).Set(ready ? 1 : 0);
 }
 
 void Metrics::ControlBytes(uint64_t sent, uint64_t received) {
-  impl_->instance_.Add({{"figure", "control_bytes_sent"}})
+  impl_->instance_gauge.Add({{"figure", "control_bytes_sent"}})
       .Set(static_cast<double>(sent));
-  impl_->instance_.Add({{"figure", "control_bytes_received"}})
+  impl_->instance_gauge.Add({{"figure", "control_bytes_received"}})
       .Set(static_cast<double>(received));
 }
 
 void Metrics::StoreCall(const std::string& kind, bool answered) {
-  impl_->store_calls_
+  impl_->store_calls
       .Add({{"kind", kind}, {"answered", answered ? "yes" : "no"}})
       .Increment();
 }
 
 std::string Metrics::Text() const {
-  return prometheus::TextSerializer().Serialize(impl_->registry_.Collect());
+  return prometheus::TextSerializer().Serialize(impl_->registry.Collect());
 }
 
 }  // namespace ryefold::ryefoldd
