Forwarder: an unsent copy does not speak for a lost one; who turns calls away

"Not run" on the forwarder's own account is now said in one place, which looks at all copies.

A settle call that an instance turns away (leaving, not ready) goes to the next at once instead of after a pause, and an instance that does not know the group yet is passed over.

--- a/src/libcore/entry/forwarder_events.cc
+++ b/src/libcore/entry/forwarder_events.cc
@@ -5,11 +5,12 @@
 namespace ryefold::core::entry {
 namespace {
 
-/// The instance did not take the request on, and another one may.
-bool Redirects(const StatementAnswer& answer) {
-  return answer.kind() == OutcomeKind::kNotRun &&
-         (answer.reason() == Reason::kShuttingDown ||
-          answer.reason() == Reason::kNotReady);
+/// The instance did not take the call on, and another one may: it is leaving,
+/// or does not know yet what is in force.
+bool TurnsAway(const StatementAnswer& answer) {
+  return answer.reason() == Reason::kShuttingDown ||
+         answer.reason() == Reason::kNotReady ||
+         answer.reason() == Reason::kUnknownGroup;
 }
 
 /// The answer to a settle call tells the outcome for good. Other reasons for
@@ -50,7 +51,7 @@
   pending->request = event.request;
   budget_.FirstTry();
   if (pending->request.deadline <= now_) {
-    FinishUnsent(pending, Reason::kDeadline);
+    GiveUp(pending, Reason::kDeadline);
     return;
   }
   SendNext(pending);
@@ -102,7 +103,7 @@
   }
   // An older copy is out of the way; the one sent since goes on.
   if (!latest && !pending->open.empty()) return;
-  if (Redirects(answer) && !pending->in_transaction()) {
+  if (TurnsAway(answer) && !pending->in_transaction()) {
     SendNext(pending);
   } else if (others) {
     FinishUnknown(pending, Reason::kInstanceLost);
@@ -121,7 +122,7 @@
   // The next settle call is under way or planned already.
   if (!latest) return;
   pending->watched = 0;
-  if (Redirects(answer)) {
+  if (TurnsAway(answer)) {
     SendNext(pending);
   } else {
     RetryLater(pending, answer.reason());
@@ -158,7 +159,7 @@
     if (budget_.TakeRetry()) {
       SendNext(pending);
     } else {
-      FinishUnsent(pending, Reason::kInstanceLost);
+      GiveUp(pending, Reason::kInstanceLost);
     }
     return;
   }
@@ -169,7 +170,7 @@
     // An earlier attempt of the caller may have sent this commit.
     BeginSettling(pending);
   } else {
-    FinishUnsent(pending, Reason::kTransactionLost);
+    GiveUp(pending, Reason::kTransactionLost);
   }
 }
 
--- a/src/libcore/entry/forwarder_impl.h
+++ b/src/libcore/entry/forwarder_impl.h
@@ -101,7 +101,6 @@
   // Final answers.
   void Finish(Pending* pending, StatementAnswer answer);
   void FinishUnknown(Pending* pending, Reason reason);
-  void FinishUnsent(Pending* pending, Reason reason);
   void GiveUp(Pending* pending, Reason reason);
   void Remove(Pending* pending);
 
--- a/src/libcore/entry/forwarder_sending.cc
+++ b/src/libcore/entry/forwarder_sending.cc
@@ -112,19 +112,15 @@
   Finish(pending, StatementAnswer::Unknown(reason));
 }
 
-/// Only for requests of which no copy can have run.
-void Forwarder::Impl::FinishUnsent(Pending* pending, Reason reason) {
-  Finish(pending, StatementAnswer::NotRun(NotRunProof::NeverSent(), reason,
-                                          backoff_.RetryAfter()));
-}
-
+/// The only place where "not run" is said without having been told so.
 void Forwarder::Impl::GiveUp(Pending* pending, Reason reason) {
   if (pending->surely_not_run()) {
-    FinishUnsent(pending, reason);
-  } else {
-    const bool late = reason == Reason::kDeadline;
-    FinishUnknown(pending, late ? reason : Reason::kInstanceLost);
+    Finish(pending, StatementAnswer::NotRun(NotRunProof::NeverSent(), reason,
+                                            backoff_.RetryAfter()));
+    return;
   }
+  const bool late = reason == Reason::kDeadline;
+  FinishUnknown(pending, late ? reason : Reason::kInstanceLost);
 }
 
 void Forwarder::Impl::Remove(Pending* pending) {
--- a/testsuite/entry_faults/faults_test.cc
+++ b/testsuite/entry_faults/faults_test.cc
@@ -109,6 +109,8 @@
   static ForwarderTiming Timing() {
     ForwarderTiming timing;
     timing.patience = milliseconds(300);
+    // Small, so that it is often spent in the middle of a request.
+    timing.retry_burst = 3;
     return timing;
   }
 
--- a/testsuite/entry_forwarder/forwarder_test.cc
+++ b/testsuite/entry_forwarder/forwarder_test.cc
@@ -159,6 +159,22 @@
   EXPECT_EQ(Answer(), "unknown instance_lost");
 }
 
+// The instance asked to settle is leaving and knows nothing of the group any
+// more. The next one may know at once; a pause would only keep the caller.
+TEST_F(ForwarderTest, ASettleCallTurnedAwayGoesToTheNextAtOnce) {
+  Handle(0, RequestArrived{1, Write(5000)});
+  Handle(5, PeerFailed{1, true});
+  Handle(6, PeerAnswered{2, StatementAnswer::Unknown(Reason::kShuttingDown)});
+  EXPECT_EQ(SettledThrough(), "c");
+}
+
+// A group was just published and the first in rank has not heard of it.
+TEST_F(ForwarderTest, AnInstanceThatDoesNotKnowTheGroupIsPassedOver) {
+  Handle(0, RequestArrived{1, Write(5000)});
+  Handle(1, PeerAnswered{1, NotRun(Reason::kUnknownGroup)});
+  EXPECT_EQ(ForwardedTo(), "b");
+}
+
 // The keeper freezes. Its callers notice nothing but silence.
 TEST_F(ForwarderTest, ASilentKeeperIsDoubtedAfterPatience) {
   Handle(0, RequestArrived{1, Write(5000)});
@@ -221,6 +237,22 @@
   EXPECT_EQ(Answer(), "unknown deadline");
 }
 
+// One copy was lost, the next certainly never sent, and the retry budget is
+// spent. Told "not run" for the sake of the second, the caller would repeat
+// what the first may have done.
+TEST_F(ForwarderTest, AnUnsentCopyDoesNotSpeakForALostOne) {
+  Handle(0, RequestArrived{1, Read(5000)});
+  Handle(5, PeerFailed{1, true});
+  while (Answer().empty()) {
+    Wait(5000);
+    while (const Forward* forward = Find<Forward>()) {
+      const CallId call = forward->call;
+      Handle(now_, PeerFailed{call, /*may_have_arrived=*/false});
+    }
+  }
+  EXPECT_EQ(Answer(), "unknown instance_lost");
+}
+
 // The first keeper was only slow. Its refusal must not end the request while
 // the second keeper works on it.
 TEST_F(ForwarderTest, ALateRefusalDoesNotEndWhatTheNextWorksOn) {
