--- a/testsuite/entry_faults/faults_test.cc
+++ b/testsuite/entry_faults/faults_test.cc
@@ -82,6 +82,7 @@
         break;
       case 3:
         if (!copies_.empty()) RunFrozen();
+        if (!requests_.empty() && *rc::gen::inRange(0, 4) == 0) Abandon();
         break;
       case 4:
         shift_ = *rc::gen::inRange(0, kInstances + 1);
@@ -96,6 +97,7 @@
     Pass(20000);
     RC_ASSERT(forwarder_.in_progress() == 0U);
     for (const auto& [tag, request] : requests_) {
+      if (abandoned_.contains(tag)) continue;
       const auto found = answers_.find(tag);
       RC_ASSERT(found != answers_.end());
       const int runs = books_.runs(request.request_id);
@@ -141,17 +143,26 @@
     Handle(RequestArrived{tag, request});
   }
 
+  void Abandon() {
+    const RequestTag tag =
+        *rc::gen::inRange<RequestTag>(1, requests_.size() + 1);
+    if (!answers_.contains(tag)) abandoned_.insert(tag);
+    Handle(RequestAbandoned{tag});
+  }
+
   void Handle(const Event& event) {
     std::vector<Action> actions;
     forwarder_.Handle(At(now_), event, &actions);
     for (const Action& action : actions) Take(action);
     for (const auto& [tag, request] : requests_) {
-      RC_ASSERT(answers_.contains(tag) || request.deadline > At(now_));
+      RC_ASSERT(answers_.contains(tag) || abandoned_.contains(tag) ||
+                request.deadline > At(now_));
     }
   }
 
   void Take(const Action& action) {
     if (const auto* respond = std::get_if<Respond>(&action)) {
+      RC_ASSERT(!abandoned_.contains(respond->tag));
       RC_ASSERT(answers_.emplace(respond->tag, respond->answer).second);
     } else if (const auto* forward = std::get_if<Forward>(&action)) {
       const StatementRequest& request = forward->request;
@@ -192,7 +203,7 @@
   }
 
   void MeetForward(const Under& under, bool again) {
-    switch (*rc::gen::inRange(0, again ? 2 : 6)) {
+    switch (*rc::gen::inRange(0, again ? 3 : 7)) {
       case 0:
         if (const auto answer = books_.Run(under.request)) {
           Handle(PeerAnswered{under.call, *answer});
@@ -205,17 +216,22 @@
         Handle(PeerFailed{under.call, true});
         break;
       case 2:
+        if (*rc::gen::arbitrary<bool>()) books_.Run(under.request);
+        Handle(PeerAnswered{under.call,
+                            StatementAnswer::Unknown(Reason::kDatabaseLost)});
+        break;
+      case 3:
         may_have_arrived_.erase(under.id);
         Handle(PeerFailed{under.call, false});
         break;
-      case 3:
+      case 4:
         may_have_arrived_.erase(under.id);
         Handle(PeerAnswered{
             under.call, Books::Refused(*rc::gen::element(Reason::kOverloaded,
                                                          Reason::kShuttingDown,
                                                          Reason::kNotReady))});
         break;
-      case 4:
+      case 5:
         copies_.push_back(under.request);
         Handle(PeerFailed{under.call, true});
         break;
@@ -264,6 +280,7 @@
   Books books_;
   std::map<RequestTag, StatementRequest> requests_;
   std::map<RequestTag, StatementAnswer> answers_;
+  std::set<RequestTag> abandoned_;
   std::set<std::string> may_have_arrived_;
   std::vector<Under> under_;
   std::vector<StatementRequest> copies_;
