--- a/src/ryefoldctl/commands.h
+++ b/src/ryefoldctl/commands.h
@@ -1,42 +1,45 @@
 #pragma once
 
-// The commands of ryefoldctl, each with its options read.
+// What operators can do.
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
 
 #include "ryefoldctl/client.h"
-#include "ryefoldctl/exit_code.h"
 
 namespace ryefold::ryefoldctl {
 
-/// Options that all commands share, and the arguments after the command.
+constexpr int kExitOk = 0;
+/// Findings in a document, or a conflict with somebody else's change.
+constexpr int kExitFindings = 1;
+constexpr int kExitUsage = 2;
+constexpr int kExitUnreachable = 3;
+constexpr int kExitTimeout = 4;
+
+/// Everything that the command line states.
 struct Invocation {
-  Access access;
-  bool json = false;
+  std::string command;
   std::vector<std::string> arguments;
-  std::string base_file;
-  std::vector<std::string> deleted;
+  std::vector<std::string> servers;
+  std::string admin_key;
   std::string author;
-  bool wait = false;
-  uint64_t limit = 20;
+  /// File made by `show --json`: versions that the operator has seen.
+  std::string base;
+  bool json = false;
+  uint64_t revision = 0;
+  std::chrono::steady_clock::time_point deadline;
 };
 
-int Validate(const Invocation& invocation);
-int Diff(const Invocation& invocation);
-int Publish(const Invocation& invocation);
-int Show(const Invocation& invocation);
-int History(const Invocation& invocation);
-int Wait(const Invocation& invocation);
-int Status(const Invocation& invocation);
-int Drain(const Invocation& invocation);
-
-/// Waits until `revision` is in force on all live instances.
-int WaitFor(Client* client, uint64_t revision, bool json);
-/// Says why there was no useful answer, and how the program ends.
-int Explain(const Response& response);
-/// One instance's documents; tells why when there are none.
-int Fetch(Client* client, const std::string& prefix, Response* response);
+int Validate(const Invocation& invocation, Client* client);
+int Diff(const Invocation& invocation, Client* client);
+int Publish(const Invocation& invocation, Client* client);
+int Delete(const Invocation& invocation, Client* client);
+int Show(const Invocation& invocation, Client* client);
+int History(const Invocation& invocation, Client* client);
+int Wait(const Invocation& invocation, Client* client);
+int Status(const Invocation& invocation, Client* client);
+int Drain(const Invocation& invocation, Client* client);
 
 }  // namespace ryefold::ryefoldctl
--- a/src/ryefoldctl/main.cc
+++ b/src/ryefoldctl/main.cc
@@ -1,5 +1,6 @@
-// ryefoldctl: publishes and looks at operators' documents, and at the fleet.
+// ryefoldctl: the operators' command-line tool.
 
+#include <chrono>
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <functional>
@@ -7,144 +8,149 @@
 #include <map>
 #include <string>
 
+#include "ryefoldctl/client.h"
 #include "ryefoldctl/commands.h"
 
 namespace ryefold::ryefoldctl {
 namespace {
 
+constexpr int kDefaultTimeoutSeconds = 30;
+
 struct Command {
-  std::string arguments;
-  std::string purpose;
-  std::function<int(const Invocation&)> run;
-  bool needs_server = true;
+  std::function<int(const Invocation&, Client*)> run;
+  const char* arguments;
+  const char* help;
+  bool needs_server;
 };
 
 const std::map<std::string, Command>& Commands() {
   static const auto* const kCommands = new std::map<std::string, Command>{
       {"validate",
-       {"FILE...",
-        "Reports every problem of the files with its place. With --server or "
-        "--base, names may refer to what is published already.",
-        Validate, false}},
+       {Validate, "FILE",
+        "Reports every finding in a file of documents. With --server, names "
+        "may refer to what is published.",
+        false}},
       {"diff",
-       {"FILE... [--delete KEY]",
-        "Prints what publishing the files would change.", Diff}},
+       {Diff, "FILE", "Shows what publishing the file would change.", true}},
       {"publish",
-       {"FILE... [--delete KEY] [--base FILE] [--wait]",
-        "Publishes the documents that differ, as one change. A key that "
-        "somebody else has changed since it was read makes it a conflict, "
-        "and nothing is taken. --base takes a file made by `show --json`, "
-        "so that hours may lie between reading and publishing.",
-        Publish}},
-      {"show", {"[PREFIX]", "Prints the documents in force.", Show}},
-      {"history", {"KEY", "Prints the versions of one document.", History}},
+       {Publish, "FILE [--base SEEN]",
+        "Publishes the documents that differ, all or none. Each is changed "
+        "only if nobody changed it since it was seen: now, or when SEEN was "
+        "made by `show --json`.",
+        true}},
+      {"delete", {Delete, "KEY...", "Deletes documents, all or none.", true}},
+      {"show",
+       {Show, "[PREFIX]", "Shows published documents and their versions.",
+        true}},
+      {"history", {History, "KEY", "Shows the changes of one document.", true}},
       {"wait",
-       {"REVISION",
-        "Waits until the revision is in force on all live instances.", Wait}},
+       {Wait, "[--revision N] [--timeout S]",
+        "Waits until a revision (the newest) is in force on every instance.",
+        true}},
       {"status",
-       {"",
-        "Prints instances, groups, keepers, primaries, terms and queues. "
-        "Each --server tells of itself.",
-        Status}},
+       {Status, "", "Shows instances, keepers, primaries, terms and lag.",
+        true}},
       {"drain",
-       {"INSTANCE", "Makes an instance finish its work and end.", Drain}},
+       {Drain, "INSTANCE",
+        "Lets an instance finish what it has in progress and end.", true}},
   };
   return *kCommands;
 }
 
-void PrintUsage(std::ostream& out) {
-  out << "usage: ryefoldctl COMMAND [ARGUMENTS] --server IP:PORT --admin-key "
-         "KEY\n\n";
+void PrintHelp(const cxxopts::Options& options) {
+  std::cout << options.help() << "\nCommands:\n";
   for (const auto& [name, command] : Commands()) {
-    out << "  " << name << " " << command.arguments << "\n      "
-        << command.purpose << "\n";
+    std::cout << "  " << name << " " << command.arguments << "\n      "
+              << command.help << "\n";
   }
-  out << "\n`ryefoldctl COMMAND --help` lists the options.\n"
-         "Exit codes: 0 done, 1 findings or conflict, 2 wrong use, 3 not "
-         "reachable, 4 timed out.\n";
+  std::cout << "\nExit codes: 0 done, 1 findings or a conflict, 2 usage, "
+               "3 no server answers,\n4 timed out or outcome not known.\n";
 }
 
-cxxopts::Options OptionsOf(const std::string& name, const Command& command) {
-  cxxopts::Options options("ryefoldctl " + name, command.purpose);
-  options.positional_help(command.arguments);
-  const char* key = std::getenv("RYEFOLD_ADMIN_KEY");
-  options.add_options()(
-      "s,server", "instance to ask, IP:PORT; several are tried in turn",
-      cxxopts::value<std::vector<std::string>>()->default_value(""))(
-      "admin-key", "operators' key (or RYEFOLD_ADMIN_KEY)",
-      cxxopts::value<std::string>()->default_value(key == nullptr ? "" : key))(
-      "json", "print JSON instead of tables")(
-      "timeout", "seconds for the whole command",
-      cxxopts::value<double>()->default_value("30"))(
-      "base", "documents seen, as printed by show --json",
-      cxxopts::value<std::string>()->default_value(""))(
-      "delete", "key to delete",
-      cxxopts::value<std::vector<std::string>>()->default_value(""))(
-      "author", "who changes",
+cxxopts::Options MakeOptions() {
+  cxxopts::Options options("ryefoldctl", "Operates a fleet of ryefoldd.");
+  options.positional_help("COMMAND [ARGUMENTS]");
+  options.add_options()("server", "ip:port of an instance; may be repeated",
+                        cxxopts::value<std::vector<std::string>>())(
+      "admin-key", "operators' key; or in RYEFOLD_ADMIN_KEY",
+      cxxopts::value<std::string>())(
+      "author", "name to stand in the history",
       cxxopts::value<std::string>()->default_value("operator"))(
-      "wait", "after publishing, wait until in force everywhere")(
-      "help", "this text")("arguments", "",
-                           cxxopts::value<std::vector<std::string>>());
-  options.parse_positional({"arguments"});
+      "base", "documents as seen, made by `show --json`",
+      cxxopts::value<std::string>()->default_value(""))(
+      "revision", "revision to wait for, the newest when absent",
+      cxxopts::value<uint64_t>()->default_value("0"))(
+      "timeout", "seconds to wait",
+      cxxopts::value<int>()->default_value(
+          std::to_string(kDefaultTimeoutSeconds)))(
+      "json", "print JSON instead of tables")("h,help", "show this text")(
+      "words", "", cxxopts::value<std::vector<std::string>>());
+  options.parse_positional({"words"});
   return options;
 }
 
-std::vector<std::string> Given(const cxxopts::ParseResult& parsed,
-                               const std::string& name) {
-  if (parsed.count(name) == 0) return {};
-  return parsed[name].as<std::vector<std::string>>();
-}
-
-Invocation InvocationOf(const cxxopts::ParseResult& parsed) {
+Invocation ReadInvocation(const cxxopts::ParseResult& parsed) {
   Invocation invocation;
-  invocation.access.servers = Given(parsed, "server");
-  invocation.access.admin_key = parsed["admin-key"].as<std::string>();
-  const std::chrono::duration<double> timeout(parsed["timeout"].as<double>());
-  invocation.access.deadline =
-      std::chrono::steady_clock::now() +
-      std::chrono::duration_cast<std::chrono::milliseconds>(timeout);
-  invocation.json = parsed.count("json") > 0;
-  invocation.arguments = Given(parsed, "arguments");
-  invocation.base_file = parsed["base"].as<std::string>();
-  invocation.deleted = Given(parsed, "delete");
+  if (parsed.count("words") > 0) {
+    invocation.arguments = parsed["words"].as<std::vector<std::string>>();
+    invocation.command = invocation.arguments.front();
+    invocation.arguments.erase(invocation.arguments.begin());
+  }
+  if (parsed.count("server") > 0) {
+    invocation.servers = parsed["server"].as<std::vector<std::string>>();
+  }
+  if (parsed.count("admin-key") > 0) {
+    invocation.admin_key = parsed["admin-key"].as<std::string>();
+  } else if (const char* key = std::getenv("RYEFOLD_ADMIN_KEY")) {
+    invocation.admin_key = key;
+  }
   invocation.author = parsed["author"].as<std::string>();
-  invocation.wait = parsed.count("wait") > 0;
+  invocation.base = parsed["base"].as<std::string>();
+  invocation.revision = parsed["revision"].as<uint64_t>();
+  invocation.json = parsed.count("json") > 0;
+  invocation.deadline = std::chrono::steady_clock::now() +
+                        std::chrono::seconds(parsed["timeout"].as<int>());
   return invocation;
 }
 
-int Run(int argc, char** argv) {
-  const std::string name = argc > 1 ? argv[1] : "";
-  if (name == "--help" || name == "help") {
-    PrintUsage(std::cout);
+int Run(const cxxopts::Options& options, const cxxopts::ParseResult& parsed) {
+  const Invocation invocation = ReadInvocation(parsed);
+  const auto command = Commands().find(invocation.command);
+  if (parsed.count("help") > 0) {
+    if (command == Commands().end()) {
+      PrintHelp(options);
+    } else {
+      std::cout << "ryefoldctl " << command->first << " "
+                << command->second.arguments << "\n"
+                << command->second.help << "\n";
+    }
     return kExitOk;
   }
-  const auto found = Commands().find(name);
-  if (found == Commands().end()) {
-    PrintUsage(std::cerr);
+  if (command == Commands().end()) {
+    std::cerr << "ryefoldctl: "
+              << (invocation.command.empty()
+                      ? "a command is needed"
+                      : "no command \"" + invocation.command + "\"")
+              << "; see --help\n";
     return kExitUsage;
   }
-  cxxopts::Options options = OptionsOf(name, found->second);
-  const cxxopts::ParseResult parsed = options.parse(argc - 1, argv + 1);
-  if (parsed.count("help") > 0) {
-    std::cout << options.help() << "\n";
-    return kExitOk;
-  }
-  const Invocation invocation = InvocationOf(parsed);
-  if (found->second.needs_server && invocation.access.servers.empty()) {
-    std::cerr << "ryefoldctl: " << name << " needs --server\n";
+  if (command->second.needs_server && invocation.servers.empty()) {
+    std::cerr << "ryefoldctl: --server IP:PORT is needed\n";
     return kExitUsage;
   }
-  return found->second.run(invocation);
+  Client client(invocation.servers, invocation.admin_key);
+  return command->second.run(invocation, &client);
 }
 
 }  // namespace
 }  // namespace ryefold::ryefoldctl
 
 int main(int argc, char** argv) {
+  cxxopts::Options options = ryefold::ryefoldctl::MakeOptions();
   try {
-    return ryefold::ryefoldctl::Run(argc, argv);
-  } catch (const std::exception& error) {
-    std::cerr << "ryefoldctl: " << error.what() << "\n";
+    return ryefold::ryefoldctl::Run(options, options.parse(argc, argv));
+  } catch (const cxxopts::exceptions::exception& error) {
+    std::cerr << "ryefoldctl: " << error.what() << "; see --help\n";
     return ryefold::ryefoldctl::kExitUsage;
   }
 }
