--- a/src/libcore/group/keeper.cc
+++ b/src/libcore/group/keeper.cc
@@ -132,21 +132,23 @@
   const bool polls = call->purpose == CallPurpose::kStatus ||
                      call->purpose == CallPurpose::kConfirm;
   const auto* status = std::get_if<DatabaseStatus>(&event.answer);
+  const auto* adopt = std::get_if<AdoptAnswer>(&event.answer);
+  const auto* role = std::get_if<RoleAnswer>(&event.answer);
+  const auto* settle = std::get_if<SettleAnswer>(&event.answer);
   if (polls && status != nullptr) {
     StatusArrived(*call, *status);
-  } else if (polls) {
-    CallFailed(*call, now_ < call->deadline);
-  } else if (const auto* adopt = std::get_if<AdoptAnswer>(&event.answer)) {
+  } else if (call->purpose == CallPurpose::kAdopt && adopt != nullptr) {
     promotion_.AdoptAnswered(now_, call->term, call->database, *adopt);
     Learn(call->database, adopt->status, call->sent, /*waited=*/false);
-  } else if (const auto* role = std::get_if<RoleAnswer>(&event.answer)) {
-    if (call->purpose == CallPurpose::kPromote) {
-      promotion_.PromoteAnswered(now_, call->term, *role);
-    }
+  } else if (call->purpose == CallPurpose::kPromote && role != nullptr) {
+    promotion_.PromoteAnswered(now_, call->term, *role);
+    Learn(call->database, role->status, call->sent, /*waited=*/false);
+  } else if (call->purpose == CallPurpose::kFollow && role != nullptr) {
     Learn(call->database, role->status, call->sent, /*waited=*/false);
-  } else if (const auto* settle = std::get_if<SettleAnswer>(&event.answer)) {
+  } else if (call->purpose == CallPurpose::kSettle && settle != nullptr) {
     SettleAnswered(*call, *settle);
   } else {
+    // No answer, or one that does not fit the question.
     CallFailed(*call, now_ < call->deadline);
   }
 }
--- a/src/libcore/group/pool.cc
+++ b/src/libcore/group/pool.cc
@@ -23,6 +23,7 @@
     if (!kept.contains(connection.database)) gone.push_back(id);
   }
   std::vector<PooledConnection> closed;
+  closed.reserve(gone.size());
   for (const ConnectionId id : gone) closed.push_back(*Close(id, actions));
   counts_ = std::move(kept);
   return closed;
--- a/testsuite/group_outcomes/at_most_once_test.cc
+++ b/testsuite/group_outcomes/at_most_once_test.cc
@@ -109,6 +109,30 @@
   EXPECT_EQ(Text(group->HealAndCheck()), "");
 }
 
+// The primary was replaced while a transaction was open on it. Its commit is
+// refused, and nobody knows what the connection still carries: a later
+// statement on it could become part of the old transaction.
+TEST(NoMixing, AConnectionOfATransactionInDoubtIsClosed) {
+  auto group = ReadyGroup();
+  core::StatementRequest request = group->Write(seconds(1));
+  request.step = core::Step::kBegin;
+  const auto begin = group->Send(0, request);
+  group->time().RunFor(milliseconds(100));
+  const size_t connections = (*group)["a"].connections();
+  (*group)["a"].Control(core::AdoptCall{9, "another"},
+                        [](const core::ControlAnswer& /*answer*/) {});
+  request = group->Write(seconds(1));
+  request.step = core::Step::kCommit;
+  request.transaction = group->asked(begin).answer->transaction();
+  const auto commit = group->Send(0, request);
+  group->time().RunFor(milliseconds(20));
+  ASSERT_TRUE(group->asked(commit).answer.has_value());
+  EXPECT_EQ(group->asked(commit).answer->kind(), OutcomeKind::kNotRun);
+  EXPECT_EQ(group->asked(commit).answer->reason(), Reason::kTransactionLost);
+  EXPECT_EQ((*group)["a"].connections(), connections - 1);
+  EXPECT_EQ(Text(group->HealAndCheck()), "");
+}
+
 // A session read an unacknowledged write on the primary, and a promotion then
 // discarded it. A read that waited for that position would wait for ever.
 TEST(Sessions, APositionThatAPromotionDiscardedIsCutBack) {
--- a/testsuite/group_outcomes/second_failure_test.cc
+++ b/testsuite/group_outcomes/second_failure_test.cc
@@ -9,6 +9,7 @@
 namespace {
 
 using core::OutcomeKind;
+using core::Reason;
 using std::chrono::seconds;
 
 /// The third database follows so far behind that it never gets the new term.
@@ -92,5 +93,28 @@
   EXPECT_EQ(group->asked(write).answer->kind(), OutcomeKind::kDone);
 }
 
+// Another keeper has fenced the id, but only the primary holds the fence. The
+// primary refuses the write for it; until a majority holds the fence, the
+// refusal is as weak as the fence.
+TEST(SecondFailure, ARefusalByAnUnconfirmedFenceIsNotPassedOn) {
+  auto group = ReadyGroup();
+  group->AddKeeper();
+  group->time().RunFor(seconds(1));
+  (*group)["c"].shape().lag = kFarBehind;
+  group->Kill("a");
+  group->time().RunFor(seconds(2));
+  ASSERT_EQ(group->primary()->name(), "b");
+  const auto request = group->Write(seconds(30));
+  group->Settle(1, request.request_id, seconds(30));
+  group->time().RunFor(milliseconds(100));
+  const auto write = group->Send(0, request);
+  group->time().RunFor(milliseconds(300));
+  EXPECT_FALSE((*group)["b"].log().Contains(request.sql));
+  EXPECT_FALSE(group->asked(write).answer.has_value());
+  EXPECT_EQ(Text(group->HealAndCheck()), "");
+  ASSERT_TRUE(group->asked(write).answer.has_value());
+  EXPECT_EQ(group->asked(write).answer->reason(), Reason::kFenced);
+}
+
 }  // namespace
 }  // namespace ryefold::test
--- a/testsuite/support/group/fake_group.h
+++ b/testsuite/support/group/fake_group.h
@@ -98,8 +98,8 @@
   }
 
   /// Sends a request through a keeper; `then` is called with the answer.
-  uint64_t Send(int keeper, core::StatementRequest request, Then then = {},
-                bool repeat = false) {
+  uint64_t Send(int keeper, const core::StatementRequest& request,
+                Then then = {}, bool repeat = false) {
     const uint64_t tag = next_tag_++;
     Asked& asked = asked_[tag];
     asked.request = request;
