--- /dev/null
+++ b/testsuite/group_outcomes/slow_replicas_test.cc
@@ -0,0 +1,73 @@
+// Writes that wait for replicas, and reads whose replica goes away.
+
+#include <gtest/gtest.h>
+
+#include "testsuite/support/group/checks.h"
+
+namespace ryefold::test {
+namespace {
+
+using core::OutcomeKind;
+using core::Reason;
+using std::chrono::seconds;
+
+// Both replicas are half a second behind. Writes that wait for them must not
+// keep the primary's few slots busy, or everybody else would wait too.
+TEST(SlowReplicas, AWriteWaitingForThemHoldsNoSlot) {
+  auto group = ReadyGroup();
+  (*group)["b"].shape().lag = milliseconds(500);
+  (*group)["c"].shape().lag = milliseconds(500);
+  std::vector<uint64_t> writes;
+  for (int i = 0; i < 10; ++i) {
+    writes.push_back(group->Send(0, group->Write(seconds(2))));
+  }
+  group->time().RunFor(milliseconds(50));
+  const core::group::KeeperView view = group->keeper(0).view();
+  EXPECT_EQ(view.unconfirmed, 10u);
+  EXPECT_EQ(view.queued, 0u);
+  for (const core::group::DatabaseView& database : view.databases) {
+    EXPECT_EQ(database.running, 0u) << database.database;
+  }
+  group->time().RunFor(seconds(1));
+  for (const uint64_t write : writes) {
+    ASSERT_TRUE(group->asked(write).answer.has_value());
+    EXPECT_EQ(group->asked(write).answer->kind(), OutcomeKind::kDone);
+  }
+}
+
+// Replicas are further behind than callers can wait. The first learns at its
+// deadline that the outcome is unknown; those after it are told beforehand,
+// while nothing has been sent.
+TEST(SlowReplicas, AWriteThatCannotBeConfirmedInTimeIsRefusedBeforehand) {
+  auto group = ReadyGroup();
+  (*group)["b"].shape().lag = milliseconds(600);
+  (*group)["c"].shape().lag = milliseconds(600);
+  const auto first = group->Send(0, group->Write(milliseconds(300)));
+  group->time().RunFor(milliseconds(200));
+  const auto next = group->Send(0, group->Write(milliseconds(150)));
+  ASSERT_TRUE(group->asked(next).answer.has_value());
+  EXPECT_EQ(group->asked(next).answer->kind(), OutcomeKind::kNotRun);
+  EXPECT_EQ(group->asked(next).answer->reason(), Reason::kConfirmationSlow);
+  group->time().RunFor(milliseconds(110));
+  ASSERT_TRUE(group->asked(first).answer.has_value());
+  EXPECT_EQ(group->asked(first).answer->kind(), OutcomeKind::kUnknown);
+  EXPECT_EQ(group->asked(first).answer->reason(), Reason::kConfirmationSlow);
+  EXPECT_LE(group->asked(first).answered_at,
+            group->asked(first).request.deadline);
+  EXPECT_EQ(Text(group->HealAndCheck()), "");
+}
+
+// A replica dies with a read under way. Another can answer it.
+TEST(SlowReplicas, AReadOnADyingReplicaIsServedByAnother) {
+  auto group = ReadyGroup();
+  const auto read =
+      group->Send(0, group->Read("x", seconds(1), {}, seconds(5)));
+  group->Kill("b");
+  group->time().RunFor(milliseconds(50));
+  ASSERT_TRUE(group->asked(read).answer.has_value());
+  EXPECT_EQ(group->asked(read).answer->kind(), OutcomeKind::kDone);
+  EXPECT_EQ(group->asked(read).answer->database(), "c");
+}
+
+}  // namespace
+}  // namespace ryefold::test
