--- a/src/include/ryefold/core/group/reads.h
+++ b/src/include/ryefold/core/group/reads.h
@@ -68,7 +68,8 @@
   /// When the round under way is given up; the far future without one.
   TimePoint next_deadline(TimePoint now) const;
 
-  /// Time since the replica was last known level with the primary.
+  /// Time since the replica was last known level with the primary, a day at
+  /// most.
   std::chrono::milliseconds lag(TimePoint now, const ReadView& view,
                                 const std::string& database) const;
 
--- a/src/libcore/group/reads.cc
+++ b/src/libcore/group/reads.cc
@@ -11,6 +11,8 @@
 constexpr size_t kMaxMarks = 4096;
 /// Weight of a new sample in the smoothed delay, as a divisor.
 constexpr int kDelaySmoothing = 8;
+/// Reported of a replica about which nothing is known.
+constexpr std::chrono::milliseconds kMostLag = std::chrono::hours(24);
 /// A round that got no majority by then is sent again.
 constexpr std::chrono::milliseconds kRoundPatience{100};
 
@@ -136,7 +138,7 @@
                         const std::string& database) const {
   const DatabaseStatus* status = view.health.status(database);
   if (status == nullptr) return milliseconds(0);
-  return ages_.AgeAt(now, status->last, now);
+  return std::min(ages_.AgeAt(now, status->last, now), kMostLag);
 }
 
 }  // namespace ryefold::core::group
