Queue: time in which nothing runs does not count against the drain rate

Cause: reads at age 0 wait for a confirmation round while every slot is free. The queue took that for a busy group that finishes nothing; with 8 callers in a closed loop it refused some as overloaded although their deadlines were 5 s away. Ruled out: few samples (the rate was read after thousands), the deadline share. Change: the keeper tells whether statements are running; only then does waiting time count.

--- a/src/include/ryefold/core/admission/queue.h
+++ b/src/include/ryefold/core/admission/queue.h
@@ -78,6 +78,11 @@
   std::vector<Refusal> Drop(TimePoint now, Reason reason,
                             const std::function<bool(const Ticket&)>& drop);
 
+  /// Tells whether statements are running, whenever that changes. While none
+  /// is, what waits is not waiting for capacity (but, say, for a primary), and
+  /// the time does not count against the drain rate.
+  void SetWorking(TimePoint now, bool working);
+
   /// Tells that one statement finished, for the measured drain rate.
   void Finished(TimePoint now);
 
--- a/src/libcore/admission/queue.cc
+++ b/src/libcore/admission/queue.cc
@@ -38,6 +38,10 @@
   return impl_->Drop(now, reason, drop);
 }
 
+void Queue::SetWorking(TimePoint now, bool working) {
+  impl_->SetWorking(now, working);
+}
+
 void Queue::Finished(TimePoint now) { impl_->Finished(now); }
 
 std::chrono::milliseconds Queue::expected_wait(
--- a/src/libcore/admission/queue_estimate.cc
+++ b/src/libcore/admission/queue_estimate.cc
@@ -64,7 +64,7 @@
 
 std::optional<double> Queue::Impl::PresentRate(TimePoint now) const {
   DrainRate drain = drain_;
-  drain.Advance(now, size() > 0);
+  drain.Advance(now, busy());
   return drain.per_second();
 }
 
--- a/src/libcore/admission/queue_impl.cc
+++ b/src/libcore/admission/queue_impl.cc
@@ -210,6 +210,11 @@
   return refused;
 }
 
+void Queue::Impl::SetWorking(TimePoint now, bool working) {
+  Advance(now);
+  working_ = working;
+}
+
 void Queue::Impl::Finished(TimePoint now) {
   Advance(now);
   usual_.Finished(now, size() > 0);
--- a/src/libcore/admission/queue_impl.h
+++ b/src/libcore/admission/queue_impl.h
@@ -33,6 +33,7 @@
   std::vector<Refusal> Expire(TimePoint now);
   bool Remove(uint64_t tag);
   std::vector<Refusal> Drop(TimePoint now, Reason reason, const CanRun& drop);
+  void SetWorking(TimePoint now, bool working);
   void Finished(TimePoint now);
   std::chrono::milliseconds ExpectedWait(TimePoint now,
                                          const std::string& workspace) const;
@@ -71,7 +72,8 @@
   std::optional<Ticket> Take(const CanRun& can_run);
   void Forget(const Ticket& ticket);
   std::vector<uint64_t> LateTickets(TimePoint now) const;
-  void Advance(TimePoint now) { drain_.Advance(now, size() > 0); }
+  void Advance(TimePoint now) { drain_.Advance(now, busy()); }
+  bool busy() const { return working_ && size() > 0; }
 
   double AheadOfClass(uint32_t priority) const;
   double Ahead(const Standing& standing) const;
@@ -91,6 +93,8 @@
   std::set<std::pair<TimePoint, uint64_t>> deadlines_;
   size_t transactions_ = 0;
   /// At present, for how long tickets have to wait.
+  /// Until told otherwise, whatever waits is taken to wait for capacity.
+  bool working_ = true;
   DrainRate drain_;
   /// As a rule, for when refused callers come back. By the present rate, those
   /// refused while nothing is served would be told to stay away for long, and
--- a/src/libcore/group/keeper_impl.h
+++ b/src/libcore/group/keeper_impl.h
@@ -92,6 +92,8 @@
   std::chrono::milliseconds RetryAfterGap() const;
   bool ConfirmationTooSlow(TimePoint deadline) const;
   void Pump();
+  void SendWhatCanRun();
+  bool AnyRunning() const;
   bool AnySlotFree() const;
   bool AnyReadPossible() const;
   bool CanRun(const admission::Ticket& ticket, const ReadView& view);
--- a/src/libcore/group/keeper_requests.cc
+++ b/src/libcore/group/keeper_requests.cc
@@ -146,6 +146,13 @@
           confirmation_.HeardAt(primary, term)};
 }
 
+bool Keeper::Impl::AnyRunning() const {
+  return std::any_of(group_.databases.begin(), group_.databases.end(),
+                     [this](const DatabaseSpec& spec) {
+                       return pool_.running(spec.database) > 0;
+                     });
+}
+
 bool Keeper::Impl::AnySlotFree() const {
   return std::any_of(group_.databases.begin(), group_.databases.end(),
                      [this](const DatabaseSpec& spec) {
@@ -154,6 +161,14 @@
 }
 
 void Keeper::Impl::Pump() {
+  SendWhatCanRun();
+  // Reads that wait for a confirmation, and writes for a primary, wait while
+  // every slot is free. Counted as a busy group that finishes nothing, they
+  // made it look all but stopped, and callers with seconds left were refused.
+  queue_.SetWorking(now_, AnyRunning());
+}
+
+void Keeper::Impl::SendWhatCanRun() {
   round_wanted_.reset();
   look_again_ = TimePoint::max();
   wanted_ = queue_.waiting();
--- a/testsuite/admission_queue/queue_test.cc
+++ b/testsuite/admission_queue/queue_test.cc
@@ -238,6 +238,29 @@
   EXPECT_GT(queue.expected_wait(At(now), "gold"), milliseconds(800));
 }
 
+// Reads wait a moment for the primary's term to be confirmed while all slots
+// are free; the next one comes as soon as they are answered. Nothing finishes
+// while they wait. Taken for a group that has nearly stopped, that refuses
+// callers with seconds left, although nobody waits for capacity.
+TEST(Queue, WaitingWithoutAnythingRunningTellsNothing) {
+  Queue queue({Policy("gold", 0)}, 10000);
+  uint64_t tag = 1;
+  for (int64_t ms = 0; ms < 5000; ++ms) {
+    queue.SetWorking(At(ms), false);
+    for (int i = 0; i < 8; ++i) {
+      const auto refused =
+          queue.Push(At(ms), TicketOf(tag++, "gold", ms, ms + 1000));
+      ASSERT_TRUE(refused.empty()) << "after " << ms << " ms";
+    }
+    // Confirmed after half a millisecond, running for the other half.
+    const TimePoint confirmed = At(ms) + std::chrono::microseconds(500);
+    while (queue.Pop(confirmed, [](const Ticket&) { return true; })) {
+    }
+    queue.SetWorking(confirmed, true);
+    for (int i = 0; i < 8; ++i) queue.Finished(confirmed);
+  }
+}
+
 // Higher classes use most of what the group can do. Told by the whole drain
 // rate, a low class would always seem to be nearly served, and its callers
 // would be held until their deadlines.
