--- a/src/include/ryefold/core/membership/duties.h
+++ b/src/include/ryefold/core/membership/duties.h
@@ -75,8 +75,9 @@
   /// How many in rank keep a group at once because entries ask. One further
   /// down first looks whether those before it answer.
   size_t asked_ranks = 3;
-  /// How many in rank take part in a group at all.
-  size_t ranks = 8;
+  /// How many in rank take part in a group at all. In a region of two failure
+  /// domains one group in 2^ranks loses all of them with one domain.
+  size_t ranks = 16;
 };
 
 /// State machine of one instance, for all groups. Owned by the task that owns
--- a/src/libcore/configuration/census.cc
+++ b/src/libcore/configuration/census.cc
@@ -50,7 +50,7 @@
   const bool here = InForceHere(request.revision);
   const auto patience =
       std::chrono::duration_cast<milliseconds>(request.deadline - now);
-  Begin(now, request.revision, std::move(unheard), patience,
+  Begin(now, request.revision, unheard, patience,
         [this, tag = request.tag, heard, here, instances,
          revision = request.revision](TimePoint, const Result& result) {
           ForceDone done;
@@ -84,7 +84,7 @@
       });
 }
 
-void Census::Begin(TimePoint now, uint64_t revision, Names names,
+void Census::Begin(TimePoint now, uint64_t revision, const Names& names,
                    milliseconds patience, Done done) {
   const uint64_t id = next_id_++;
   Round& round = rounds_[id];
--- a/src/libcore/configuration/census.h
+++ b/src/libcore/configuration/census.h
@@ -41,7 +41,8 @@
     Done done;
   };
 
-  void Begin(TimePoint now, uint64_t revision, std::vector<std::string> names,
+  void Begin(TimePoint now, uint64_t revision,
+             const std::vector<std::string>& names,
              std::chrono::milliseconds patience, Done done);
   void Ask(TimePoint now, uint64_t round, std::vector<std::string> names);
   void Returned(TimePoint now, uint64_t round, uint64_t question,
--- a/src/libcore/membership/roster.cc
+++ b/src/libcore/membership/roster.cc
@@ -64,7 +64,8 @@
     return;
   }
   std::erase_if(orders_, [&](const auto& entry) {
-    const auto& [group, order] = entry;
+    const std::string& group = entry.first;
+    const Order& order = entry.second;
     const auto holds = [&](const std::string& name) {
       return std::find(order.names.begin(), order.names.end(), name) !=
              order.names.end();
--- a/src/libwire/platform_codec.cc
+++ b/src/libwire/platform_codec.cc
@@ -64,12 +64,12 @@
   Json::Value object;
   object["change_id"] = change.change_id;
   object["author"] = change.author;
-  object["time"] = Json::Int64(Seconds(change.time));
+  object["time"] = static_cast<Json::Int64>(Seconds(change.time));
   object["edits"] = Json::arrayValue;
   for (const Edit& edit : change.edits) {
     Json::Value entry;
     entry["key"] = edit.key;
-    entry["base_version"] = Json::UInt64(edit.base_version);
+    entry["base_version"] = static_cast<Json::UInt64>(edit.base_version);
     if (edit.text) entry["text"] = *edit.text;
     object["edits"].append(entry);
   }
@@ -93,10 +93,10 @@
 
 Json::Value ToJson(const SnapshotPointer& pointer) {
   Json::Value object;
-  object["revision"] = Json::UInt64(pointer.revision);
+  object["revision"] = static_cast<Json::UInt64>(pointer.revision);
   object["prefix"] = pointer.prefix;
-  object["parts"] = Json::UInt64(pointer.parts);
-  object["trimmed"] = Json::UInt64(pointer.trimmed);
+  object["parts"] = static_cast<Json::UInt64>(pointer.parts);
+  object["trimmed"] = static_cast<Json::UInt64>(pointer.trimmed);
   return object;
 }
 
@@ -111,11 +111,11 @@
   for (const Document& document : part.documents) {
     Json::Value entry;
     entry["key"] = document.key;
-    entry["version"] = Json::UInt64(document.version);
+    entry["version"] = static_cast<Json::UInt64>(document.version);
     if (document.text) entry["text"] = *document.text;
     entry["change_id"] = document.change_id;
     entry["author"] = document.author;
-    entry["time"] = Json::Int64(Seconds(document.time));
+    entry["time"] = static_cast<Json::Int64>(Seconds(document.time));
     object["documents"].append(entry);
   }
   return object;
@@ -233,14 +233,14 @@
   }
   if (const auto* watch = std::get_if<StoreWatch>(&request)) {
     body["key"] = watch->key;
-    body["after"] = Json::UInt64(watch->after);
-    body["wait_ms"] = Json::Int64(watch->wait.count());
+    body["after"] = static_cast<Json::UInt64>(watch->after);
+    body["wait_ms"] = static_cast<Json::Int64>(watch->wait.count());
     return {"POST", "/v1/watch", Write(body)};
   }
   if (const auto* put = std::get_if<StorePut>(&request)) {
     body["key"] = put->key;
     body["value"] = WriteStoreValue(put->value);
-    body["expect"] = Json::UInt64(put->expect);
+    body["expect"] = static_cast<Json::UInt64>(put->expect);
     return {"POST", "/v1/put", Write(body)};
   }
   const uint64_t known = std::get<StoreInstances>(request).known_version;
@@ -269,7 +269,7 @@
 
 std::string WriteInstances(uint64_t version, const std::vector<Member>& all) {
   Json::Value body;
-  body["version"] = Json::UInt64(version);
+  body["version"] = static_cast<Json::UInt64>(version);
   body["instances"] = Json::arrayValue;
   for (const Member& member : all) body["instances"].append(ToJson(member));
   return Write(body);
--- a/testsuite/support/control/fleet.h
+++ b/testsuite/support/control/fleet.h
@@ -307,7 +307,7 @@
   using PeerReply = std::function<void(const cfg::PeerAnswer*, bool refused)>;
   /// Carries one call to a peer: `reply` is called once, on the caller.
   void Carry(size_t from, size_t to, const cfg::PeerRequest& request,
-             TimePoint deadline, PeerReply reply);
+             TimePoint deadline, const PeerReply& reply);
   void Check(size_t i);
   void LearnGroups(size_t i);
 
@@ -394,10 +394,9 @@
     if (no_store_.contains(i)) return;
     At(i, Way(), [settle, answer] { settle(&answer); });
   };
-  After(Way() + platform.slowness,
-        [this, i, request = action.request, answered] {
-          platform.Call(request, answered);
-        });
+  After(Way() + platform.slowness, [this, request = action.request, answered] {
+    platform.Call(request, answered);
+  });
   if (const auto* watch = std::get_if<cfg::StoreWatch>(&action.request)) {
     At(i, watch->wait, [answered, this] {
       if (!platform.down) answered(cfg::StoreRead{});
@@ -444,7 +443,7 @@
 
 inline void Fleet::Carry(size_t from, size_t to,
                          const cfg::PeerRequest& request, TimePoint deadline,
-                         PeerReply reply) {
+                         const PeerReply& reply) {
   if (wire) wire(from, to, &request, nullptr);
   const auto settled = std::make_shared<bool>(false);
   const auto settle = [settled, reply](const cfg::PeerAnswer* answer,
--- a/testsuite/support/control/traffic.h
+++ b/testsuite/support/control/traffic.h
@@ -79,7 +79,7 @@
     const auto ranked = entry.roster->Ranked(fleet_->now(), request->group);
     const size_t place = request->attempt++ % 3;
     if (place >= ranked.size()) return Again(request, kPause);
-    const std::string name = ranked[place];
+    const std::string& name = ranked[place];
     const size_t target = fleet_->IndexOf(name);
     if (target == request->entry) return Arrive(request, target, name);
     fleet_->After(
