--- a/src/bench/control.cc
+++ b/src/bench/control.cc
@@ -13,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "ryefold/wire/platform_codec.h"
 #include "testsuite/support/control/changes.h"
 #include "testsuite/support/control/fleet.h"
 #include "testsuite/support/control/meter.h"
@@ -66,6 +67,9 @@
                 fleet_->node(0).documents().size(), ready_ ? "yes" : "NO");
     std::printf("  memory of one instance's control part: %.0f KB\n",
                 memory_ / 1024);
+    const std::string list = wire::WriteInstances(1, fleet_->Everybody());
+    std::printf("  the platform's whole list: %zu bytes of JSON\n",
+                list.size());
   }
 
   void Steady() {
--- a/src/libcore/membership/duties.cc
+++ b/src/libcore/membership/duties.cc
@@ -136,8 +136,8 @@
   const auto place = own - ranked.begin();
   if (place == 0) {
     // Kept in place of others: the first of them that answers gets it back.
-    constexpr size_t kMostReturning = 2;
-    if (before.size() > kMostReturning) before.resize(kMostReturning);
+    // All are looked at, or the suspicion of the rest would run out and the
+    // group be given up in favour of one that is just as dead.
     return before;
   }
   // A lost failure domain can take the keeper together with its successor;
--- a/testsuite/membership_keepers/keepers_test.cc
+++ b/testsuite/membership_keepers/keepers_test.cc
@@ -167,6 +167,34 @@
   EXPECT_LE(traffic_->worst, 500ms);
 }
 
+// Half of the instances fall silent at once, six of them first in rank for a
+// group. Once somebody has taken it over it must not give it up again because
+// its suspicion of some of the six runs out: nobody else watches.
+TEST_F(Keepers, AGroupTakenOverFromSixSilentOnesStaysKept) {
+  FleetOptions options;
+  options.instances = 12;
+  Begin(options);
+  std::vector<size_t> order;
+  for (size_t place = 0; place < 12; ++place) {
+    order.push_back(Intended("g0", place));
+  }
+  for (size_t place = 0; place < 6; ++place) fleet_->Freeze(order[place]);
+  const auto kept = [&] {
+    return std::any_of(order.begin() + 6, order.end(), [&](size_t i) {
+      return fleet_->at(i).duties->Keeps("g0");
+    });
+  };
+  for (int i = 0; i < 20; ++i) {
+    fleet_->After(milliseconds(i * 500),
+                  [&] { traffic_->Send(order[8], "g0"); });
+  }
+  EXPECT_TRUE(fleet_->RunUntil(kept, 20s));
+  for (int i = 0; i < 600; ++i) {
+    fleet_->Run(100ms);
+    ASSERT_TRUE(kept()) << i;
+  }
+}
+
 // A new instance comes first in rank for some groups and needs a while to
 // learn what is in force. Those that kept the groups go on until it serves
 // them; giving up at once, they would leave the groups to nobody.
