--- a/src/libcore/admission/queue_impl.cc
+++ b/src/libcore/admission/queue_impl.cc
@@ -59,7 +59,8 @@
   refusal.tag = ticket.tag;
   refusal.reason = reason;
   refusal.retry_after =
-      plan_.Next(now, Rate(now, standing.priority), Ahead(standing), promised);
+      plan_.Next(now, PartOf(usual_.per_second(), now, standing.priority),
+                 Ahead(standing), promised);
   return refusal;
 }
 
@@ -109,6 +110,7 @@
 
 std::vector<Refusal> Queue::Impl::Push(TimePoint now, Ticket ticket) {
   Advance(now);
+  if (ticket.enqueued == TimePoint()) ticket.enqueued = now;
   std::vector<Refusal> refused;
   if (const auto reason = Judge(now, ticket)) {
     refused.push_back(Refuse(now, ticket, *reason));
@@ -210,6 +212,7 @@
 
 void Queue::Impl::Finished(TimePoint now) {
   Advance(now);
+  usual_.Finished(now, size() > 0);
   if (size() > 0) drain_.Finished();
 }
 
