--- a/testsuite/group_outcomes/slow_replicas_test.cc
+++ b/testsuite/group_outcomes/slow_replicas_test.cc
@@ -18,6 +18,7 @@
   (*group)["b"].shape().lag = milliseconds(500);
   (*group)["c"].shape().lag = milliseconds(500);
   std::vector<uint64_t> writes;
+  writes.reserve(10);
   for (int i = 0; i < 10; ++i) {
     writes.push_back(group->Send(0, group->Write(seconds(2))));
   }
