Developer's stack: a taken port no longer hangs the start

When a database of a second group found its port taken, the script ended the group and then waited for all its background programs, those that are meant to go on included: forever. Seen once as a drain test that never got beyond 'up'. With a port collision forced on a scratch copy the start now takes another choice and finishes. A test that is terminated tears its stack down too.

--- a/scripts/local_stack.sh
+++ b/scripts/local_stack.sh
@@ -120,12 +120,15 @@
 }
 
 # end_processes PID...: all at once, so that slow ones are waited for together.
+# Only these are waited for: a plain `wait` would also wait for the programs
+# that this script has started and that go on running.
 end_processes() {
-  local pid
+  local pid enders=()
   for pid in "$@"; do
     end_process "$pid" &
+    enders+=($!)
   done
-  wait
+  [ "${#enders[@]}" -eq 0 ] || wait "${enders[@]}"
 }
 
 # record KIND NAME PID ADDRESS [GROUP]
--- a/testsuite/standins/process.sh
+++ b/testsuite/standins/process.sh
@@ -24,6 +24,7 @@
   exit "$code"
 }
 trap stop_all EXIT
+trap 'exit 143' TERM INT
 # Writing to a connection that the other side closed is an answer, not an end.
 trap : PIPE
 
