Probe a silent keeper before doubting it

Cause: an entry doubted a keeper that held a request and had answered nothing for 1.5 s. Three-second statements on a quiet entry leave nothing to hear: with six of them on three slots the waiting ones were fenced by the next in rank and told not_run, and instances suspected each other 4 to 6 times, though all were well. Ruled out: the databases (no promotion, status calls answered), the queue (nothing refused there). Change: after 1 s of silence the entry asks the keeper's task whether it is there; only when that is not answered within 0.5 s is it doubted, so a frozen keeper is found after 1.5 s as before.

--- a/src/include/ryefold/core/entry/forwarder.h
+++ b/src/include/ryefold/core/entry/forwarder.h
@@ -39,9 +39,13 @@
   CallId call = 0;
   bool may_have_arrived = true;
 };
+/// An instance answered a probe. One that is not answered needs no event.
+struct ProbeAnswered {
+  std::string instance;
+};
 struct Tick {};
 using Event = std::variant<RequestArrived, RequestAbandoned, PeerAnswered,
-                           PeerFailed, Tick>;
+                           PeerFailed, ProbeAnswered, Tick>;
 
 // ---- actions ----
 
@@ -59,6 +63,11 @@
   std::string instance;
   SettleRequest request;
 };
+/// Asks whether an instance that has not answered anything for a while is
+/// there at all.
+struct Probe {
+  std::string instance;
+};
 /// Tells membership that an instance failed to answer, or answered.
 struct Suspect {
   std::string instance;
@@ -66,7 +75,7 @@
 struct Trust {
   std::string instance;
 };
-using Action = std::variant<Respond, Forward, Settle, Suspect, Trust>;
+using Action = std::variant<Respond, Forward, Settle, Suspect, Trust, Probe>;
 
 /// Gives the instances that may keep a group, the intended one first; those
 /// suspected come last. Empty when none is known.
@@ -75,9 +84,12 @@
 
 struct ForwarderTiming {
   /// A keeper that holds a request and has answered nothing at all for this
-  /// long is doubted: the outcome of a non-repeatable request is then settled
-  /// through the next in rank, a repeatable one is sent there.
-  std::chrono::milliseconds patience{1500};
+  /// long is probed.
+  std::chrono::milliseconds patience{1000};
+  /// One that does not answer the probe within this time is doubted: the
+  /// outcome of a non-repeatable request is then settled through the next in
+  /// rank, a repeatable one is sent there.
+  std::chrono::milliseconds probe_patience{500};
   /// Retries earned per first try, and how many may be saved up.
   double retry_ratio = 0.2;
   double retry_burst = 50;
--- a/src/include/ryefold/wire/peer_codec.h
+++ b/src/include/ryefold/wire/peer_codec.h
@@ -15,6 +15,8 @@
 
 constexpr std::string_view kPeerStatement = "/peer/statement";
 constexpr std::string_view kPeerSettle = "/peer/settle";
+/// Answered at once, with an empty body, by a keeper task that runs.
+constexpr std::string_view kPeerAlive = "/peer/alive";
 
 /// Deadlines travel as time left, since instances share no clock.
 std::string WritePeerRequest(core::TimePoint now,
--- a/src/libcore/entry/forwarder_events.cc
+++ b/src/libcore/entry/forwarder_events.cc
@@ -26,7 +26,7 @@
 
 Forwarder::Impl::Impl(Ranking ranking, ForwarderTiming timing, uint64_t seed)
     : ranking_(std::move(ranking)),
-      hearing_(timing.patience),
+      hearing_(timing.patience, timing.probe_patience),
       backoff_(timing.backoff, seed),
       budget_(timing.retry_ratio, timing.retry_burst) {}
 
@@ -149,6 +149,8 @@
   }
 }
 
+void Forwarder::Impl::On(const ProbeAnswered& event) { Heard(event.instance); }
+
 /// A copy certainly did not arrive.
 void Forwarder::Impl::NeverArrived(Pending* pending) {
   if (pending->phase == Phase::kSettling) {
@@ -222,6 +224,17 @@
   }
 }
 
+bool Forwarder::Impl::StillWaits(Pending* pending, const Call& call) {
+  const Hearing::Verdict verdict =
+      hearing_.Judge(now_, call.instance, call.sent);
+  if (verdict == Hearing::Verdict::kDoubt) return false;
+  if (verdict == Hearing::Verdict::kProbe) {
+    actions_->push_back(Probe{call.instance});
+  }
+  Reschedule(pending);
+  return true;
+}
+
 void Forwarder::Impl::LookAt(Pending* pending) {
   if (pending->request.deadline <= now_) {
     GiveUp(pending, Reason::kDeadline);
@@ -238,10 +251,7 @@
     return;
   }
   const Call call = watched->second;
-  if (hearing_.DoubtAt(call.instance, call.sent) > now_) {
-    Reschedule(pending);
-    return;
-  }
+  if (StillWaits(pending, call)) return;
   pending->watched = 0;
   if (!pending->in_transaction()) Failed(call.instance);
   if (call.settles) {
--- a/src/libcore/entry/forwarder_impl.h
+++ b/src/libcore/entry/forwarder_impl.h
@@ -73,6 +73,7 @@
   void On(const RequestAbandoned& event);
   void On(const PeerAnswered& event);
   void On(const PeerFailed& event);
+  void On(const ProbeAnswered& event);
   void On(const Tick& event);
 
   // Sending.
@@ -104,6 +105,7 @@
   void GiveUp(Pending* pending, Reason reason);
   void Remove(Pending* pending);
 
+  bool StillWaits(Pending* pending, const Call& call);
   void Heard(const std::string& instance);
   void Failed(const std::string& instance);
 
--- a/src/libcore/entry/forwarder_sending.cc
+++ b/src/libcore/entry/forwarder_sending.cc
@@ -96,7 +96,7 @@
   const auto watched = calls_.find(pending->watched);
   if (watched != calls_.end()) {
     const Call& call = watched->second;
-    due = std::min(due, hearing_.DoubtAt(call.instance, call.sent));
+    due = std::min(due, hearing_.JudgeAt(call.instance, call.sent));
   }
   due_.erase({pending->due, pending->tag});
   pending->due = due;
--- a/src/ryefoldctl/documents.cc
+++ b/src/ryefoldctl/documents.cc
@@ -20,7 +20,6 @@
 constexpr int kOk = 200;
 constexpr int kConflict = 409;
 constexpr int kUnknownOutcome = 504;
-constexpr int kUnavailable = 503;
 /// A lost answer is settled by sending the same change id again.
 constexpr int kSettleTries = 5;
 constexpr std::chrono::milliseconds kSettlePause{300};
--- a/src/ryefoldd/entry_task.cc
+++ b/src/ryefoldd/entry_task.cc
@@ -29,6 +29,8 @@
 constexpr milliseconds kSweepEvery{200};
 constexpr milliseconds kRetryWhenReady{500};
 constexpr milliseconds kRankingFresh{200};
+/// An answer to a probe later than this helps nobody.
+constexpr milliseconds kProbeBound{2000};
 /// More than these are never tried for one request.
 constexpr size_t kRanksUsed = 8;
 constexpr std::string_view kAdminPrefix = "/v1/admin/";
@@ -96,6 +98,8 @@
   } else if (auto* local = std::get_if<LocalAnswered>(&message)) {
     if (local_calls_.erase(local->call) == 0) return;
     Drive(core::entry::PeerAnswered{local->call, std::move(local->answer)});
+  } else if (std::holds_alternative<LocalAlive>(message)) {
+    Drive(core::entry::ProbeAnswered{wiring_->settings.name});
   } else if (std::holds_alternative<KeeperTaskFailed>(message)) {
     LocalTaskFailed();
   } else if (auto* roster = std::get_if<RosterChanged>(&message)) {
@@ -265,6 +269,8 @@
     wiring_->control.Send(InstanceSuspected{suspect->instance});
   } else if (const auto* trust = std::get_if<core::entry::Trust>(&action)) {
     wiring_->control.Send(InstanceTrusted{trust->instance});
+  } else if (const auto* probe = std::get_if<core::entry::Probe>(&action)) {
+    Probe(*probe);
   }
 }
 
@@ -309,6 +315,21 @@
            action.request.deadline);
 }
 
+void EntryTask::Probe(const core::entry::Probe& action) {
+  const std::string instance = action.instance;
+  if (instance == wiring_->settings.name) {
+    wiring_->keeper.Send(LocalProbe{});
+    return;
+  }
+  wire::PeerClient* peer = PeerFor(instance);
+  if (peer == nullptr) return;
+  peer->Call(std::string(wire::kPeerAlive), {}, Now() + kProbeBound,
+             [this, instance](const wire::PeerResult& result) {
+               if (result.status != wire::CallStatus::kOk) return;
+               Drive(core::entry::ProbeAnswered{instance});
+             });
+}
+
 void EntryTask::CallLocal(uint64_t call, KeeperMessage message) {
   if (!wiring_->keeper.Send(std::move(message))) {
     Drive(core::entry::PeerFailed{call, /*may_have_arrived=*/false});
--- a/src/ryefoldd/entry_task.h
+++ b/src/ryefoldd/entry_task.h
@@ -61,6 +61,7 @@
   void Respond(const core::entry::Respond& action);
   void Forward(const core::entry::Forward& action);
   void Settle(const core::entry::Settle& action);
+  void Probe(const core::entry::Probe& action);
   void CallPeer(uint64_t call, const std::string& instance,
                 std::string_view path, std::string body,
                 core::TimePoint deadline);
--- a/src/ryefoldd/keeper_task.cc
+++ b/src/ryefoldd/keeper_task.cc
@@ -72,6 +72,8 @@
            [this, call](const core::StatementAnswer& answer) {
              wiring_->entry.Send(LocalAnswered{call, answer});
            });
+  } else if (std::holds_alternative<LocalProbe>(message)) {
+    wiring_->entry.Send(LocalAlive{});
   } else if (auto* duties = std::get_if<DutiesChanged>(&message)) {
     ApplyDuties(duties->keep);
   } else if (auto* reply = std::get_if<ControlReplied>(&message)) {
@@ -92,6 +94,8 @@
     OnPeerStatement(call);
   } else if (call.path() == wire::kPeerSettle) {
     OnPeerSettle(call);
+  } else if (call.path() == wire::kPeerAlive) {
+    call.Reply({});
   } else {
     OnPeerControl(call);
   }
--- a/src/ryefoldd/messages.h
+++ b/src/ryefoldd/messages.h
@@ -39,6 +39,8 @@
   core::StatementAnswer answer =
       core::StatementAnswer::Unknown(core::Reason::kNone);
 };
+/// The keeper task of this instance runs.
+struct LocalAlive {};
 /// The keeper task failed; calls it had taken may or may not have run.
 struct KeeperTaskFailed {};
 struct RosterChanged {
@@ -54,9 +56,9 @@
   int status = 500;
   std::string body;
 };
-using EntryMessage =
-    std::variant<CatalogInForce, BeginDrain, LocalAnswered, KeeperTaskFailed,
-                 RosterChanged, ReadinessChanged, AdminAnswered>;
+using EntryMessage = std::variant<CatalogInForce, BeginDrain, LocalAnswered,
+                                  LocalAlive, KeeperTaskFailed, RosterChanged,
+                                  ReadinessChanged, AdminAnswered>;
 
 // ---- to the keeper ----
 
@@ -64,6 +66,8 @@
   uint64_t call = 0;
   core::StatementRequest request;
 };
+/// Answered by LocalAlive.
+struct LocalProbe {};
 struct LocalSettle {
   uint64_t call = 0;
   core::SettleRequest request;
@@ -83,7 +87,7 @@
 };
 using KeeperMessage =
     std::variant<CatalogInForce, BeginDrain, LocalStatement, LocalSettle,
-                 DutiesChanged, ControlReplied, StatusAsked>;
+                 LocalProbe, DutiesChanged, ControlReplied, StatusAsked>;
 
 // ---- to control ----
 
