Membership: the first in rank outside the keeper's failure domain watches

Cause: a second watcher stood in only when keeper and successor shared a failure domain, and it was the third in rank whatever its own domain. A group whose first three or more stand in one domain had no watcher left when that domain fell silent and the platform's list went on naming it. Ruled out: an order that spreads domains; it moves each lost group twice (see roster.h). The new test leaves four groups unkept without the change.

--- a/src/bench/load.cc
+++ b/src/bench/load.cc
@@ -172,6 +172,7 @@
   task::Loop loop;
   std::atomic<int> left{connections};
   std::vector<std::unique_ptr<Client>> clients;
+  clients.reserve(static_cast<size_t>(connections));
   for (int i = 0; i < connections; ++i) {
     clients.push_back(std::make_unique<Client>(&loop, options, tally, &left));
   }
--- a/src/libcore/membership/duties.cc
+++ b/src/libcore/membership/duties.cc
@@ -71,6 +71,8 @@
                                    const Duty& duty) const;
   std::vector<std::string> Before(const std::string& group) const;
   bool OneDomain(const std::string& a, const std::string& b) const;
+  bool WatchesFromOutside(const std::vector<std::string>& ranked,
+                          ptrdiff_t place) const;
   void Served(TimePoint now, const std::string& group, bool served);
 
   const std::string self_;
@@ -140,13 +142,29 @@
     // group be given up in favour of one that is just as dead.
     return before;
   }
-  // A lost failure domain can take the keeper together with its successor;
-  // without a second watcher the group would stay unserved until entries ask.
-  const bool second = place == 2 && OneDomain(ranked[0], ranked[1]);
-  if (place == 1 || second || duty.keeping) return {ranked[0]};
+  if (WatchesFromOutside(ranked, place)) {
+    // One that misses may be the sign that its whole domain is gone: all that
+    // stand in it are looked at together, not one after another.
+    const auto front = targets_.find(ranked[0]);
+    const bool missed = front != targets_.end() && front->second.misses > 0;
+    return {ranked.begin(), ranked.begin() + (missed ? place : 1)};
+  }
+  if (place == 1 || duty.keeping) return {ranked[0]};
   return {};
 }
 
+/// A lost failure domain can take the keeper together with its successors, as
+/// many as stand in it. Without a watcher elsewhere the group would stay
+/// unserved until entries ask: the first in rank outside the keeper's domain
+/// watches as well.
+bool Duties::Impl::WatchesFromOutside(const std::vector<std::string>& ranked,
+                                      ptrdiff_t place) const {
+  if (place < 2 || OneDomain(ranked[0], self_)) return false;
+  return std::all_of(
+      ranked.begin() + 1, ranked.begin() + place,
+      [&](const std::string& name) { return OneDomain(ranked[0], name); });
+}
+
 void Duties::Impl::Decide(TimePoint now, const std::string& group, Duty* duty) {
   const std::vector<std::string> ranked = roster_->Ranked(now, group);
   const bool first = !ranked.empty() && ranked.front() == self_;
--- a/testsuite/membership_keepers/keepers_test.cc
+++ b/testsuite/membership_keepers/keepers_test.cc
@@ -3,7 +3,9 @@
 
 #include <gtest/gtest.h>
 
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "testsuite/support/control/fleet.h"
 #include "testsuite/support/control/traffic.h"
@@ -145,6 +147,37 @@
   EXPECT_GT(both, 0U);
 }
 
+// A switch fails and a whole failure domain falls silent, among it the first
+// three and more in rank of some groups, the list says nothing of it and no
+// request comes. Callers of such a group would find it unserved minutes later.
+TEST_F(Keepers, ALongRunOfSilentOnesInRankIsNoticedFromOutside) {
+  FleetOptions options;
+  options.instances = 90;
+  Begin(options);
+  for (size_t g = kGroups; g < 60; ++g) {
+    groups_.push_back("g" + std::to_string(g));
+  }
+  fleet_->SetGroups(groups_);
+  ASSERT_TRUE(fleet_->RunUntil([this] { return OneEach(); }, 10s));
+  std::optional<size_t> lost;
+  for (const std::string& group : groups_) {
+    const size_t domain = Intended(group, 0) % 3;
+    const bool run =
+        Intended(group, 1) % 3 == domain && Intended(group, 2) % 3 == domain;
+    if (run) lost = domain;
+  }
+  ASSERT_TRUE(lost.has_value());
+  for (size_t i = *lost; i < fleet_->size(); i += 3) fleet_->Freeze(i);
+  fleet_->Run(5s);
+  for (const std::string& group : groups_) {
+    bool kept = false;
+    for (size_t i = 0; i < fleet_->size(); ++i) {
+      kept = kept || (i % 3 != *lost && fleet_->at(i).duties->Keeps(group));
+    }
+    EXPECT_TRUE(kept) << group;
+  }
+}
+
 // The first three in rank die at once and the list goes on naming them. The
 // fourth does not watch any of them; an entry's request makes it look.
 TEST_F(Keepers, FourthInRankServesWhenThreeAreLost) {
