--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -10,3 +10,10 @@
 "$build/bench_control" --instances 8 --documents 0
 "$build/bench_control" --instances 8 --documents 5000
 "$build/bench_control" --instances 8 --documents 20000
+echo "== failover in virtual time (bench_failover)"
+"$build/bench_failover" --trials 40
+echo "== memory of connections between instances (bench_wire)"
+"$build/bench_wire" --benchmark_filter='Idle|Waiting' 2>/dev/null
+echo "== real processes (scripts/capacity_processes.sh, scripts/bench_path.sh)"
+scripts/capacity_processes.sh
+scripts/bench_path.sh
--- a/src/libtask/supervisor.cc
+++ b/src/libtask/supervisor.cc
@@ -1,6 +1,7 @@
 #include "ryefold/task/supervisor.h"
 
 #include <glog/logging.h>
+#include <pthread.h>
 
 #include <condition_variable>
 #include <deque>
@@ -14,6 +15,8 @@
 
 using Clock = std::chrono::steady_clock;
 
+constexpr size_t kThreadNameBytes = 15;
+
 /// Set on every child's thread. Joining children there would wait for itself.
 thread_local bool on_child_thread = false;
 
@@ -188,6 +191,9 @@
   /// The child's thread: one run after the other until it is to end.
   void Live(Child* child) {
     on_child_thread = true;
+    // Seen by top, gdb and /proc; the kernel keeps 15 bytes.
+    pthread_setname_np(pthread_self(),
+                       child->name.substr(0, kThreadNameBytes).c_str());
     while (true) {
       std::string failure = RunOnce(child);
       const bool again = !failure.empty() && MayRestart();
