--- a/src/ryefoldd/control_task.cc
+++ b/src/ryefoldd/control_task.cc
@@ -1,7 +1,6 @@
 #include "ryefoldd/control_task.h"
 
 #include <glog/logging.h>
-#include <signal.h>
 
 #include <chrono>
 #include <optional>
@@ -11,7 +10,6 @@
 
 #include "ryefold/wire/exchange_codec.h"
 #include "ryefold/wire/platform_codec.h"
-#include "ryefoldd/admin_codec.h"
 
 namespace ryefold::ryefoldd {
 namespace {
@@ -20,19 +18,9 @@
 namespace membership = core::membership;
 using std::chrono::milliseconds;
 
-constexpr int kOk = 200;
-constexpr int kBadRequest = 400;
-constexpr int kNotFound = 404;
-constexpr int kConflict = 409;
-constexpr int kMisdirected = 421;
-constexpr int kUnavailable = 503;
-constexpr int kUnknownOutcome = 504;
 constexpr milliseconds kSweepEvery{500};
 /// Peers that were not called for this many sweeps lose their link.
 constexpr int kSweepsPerDrop = 240;
-constexpr milliseconds kPublishTime{5000};
-constexpr milliseconds kForceTime{2000};
-constexpr milliseconds kHistoryTime{5000};
 
 core::TimePoint Now() { return std::chrono::steady_clock::now(); }
 
@@ -46,26 +34,6 @@
   return self;
 }
 
-int StatusOf(configuration::PublishStatus status) {
-  switch (status) {
-    case configuration::PublishStatus::kAccepted:
-      return kOk;
-    case configuration::PublishStatus::kConflict:
-      return kConflict;
-    case configuration::PublishStatus::kUnavailable:
-      return kUnavailable;
-    case configuration::PublishStatus::kInvalid:
-      return kBadRequest;
-    case configuration::PublishStatus::kUnknown:
-      return kUnknownOutcome;
-  }
-  return kUnknownOutcome;
-}
-
-std::string ErrorBody(const std::string& error) {
-  return "{\"error\":\"" + error + "\"}";
-}
-
 }  // namespace
 
 ControlTask::ControlTask(Wiring* wiring) : wiring_(wiring) {}
@@ -139,78 +107,6 @@
   DriveNode(configuration::PeerCalled{asked.tag, std::move(*request)});
 }
 
-void ControlTask::OnAdmin(const AdminAsked& asked) {
-  const std::string& path = asked.path;
-  const core::TimePoint now = Now();
-  if (path == "/v1/admin/documents") {
-    AnswerAdmin(asked.tag, kOk,
-                WriteDocuments(node_->revision(), node_->documents(),
-                               asked.query_prefix));
-  } else if (path == "/v1/admin/publish" && asked.method == "POST") {
-    wire::Findings findings;
-    configuration::Change change = ReadPublish(asked.body, &findings);
-    if (!findings.empty()) {
-      AnswerAdmin(asked.tag, kBadRequest,
-                  "{\"error\":\"the request has findings\",\"findings\":" +
-                      wire::ToJson(findings) + "}");
-      return;
-    }
-    DriveNode(configuration::PublishArrived{asked.tag, std::move(change),
-                                            now + kPublishTime});
-  } else if (path == "/v1/admin/force") {
-    const uint64_t revision = std::strtoull(asked.query_revision.c_str(),
-                                            /*endptr=*/nullptr, /*base=*/10);
-    DriveNode(
-        configuration::ForceArrived{asked.tag, revision, now + kForceTime});
-  } else if (path == "/v1/admin/history") {
-    configuration::HistoryArrived history;
-    history.tag = asked.tag;
-    history.key = asked.query_key;
-    history.deadline = now + kHistoryTime;
-    DriveNode(history);
-  } else if (path == "/v1/admin/status") {
-    status_asked_[asked.tag] = asked;
-    wiring_->keeper.Send(StatusAsked{asked.tag});
-  } else if (path == "/v1/admin/drain" && asked.method == "POST") {
-    OnDrainAsked(asked);
-  } else {
-    AnswerAdmin(asked.tag, kNotFound, ErrorBody("no such path or method"));
-  }
-}
-
-void ControlTask::OnDrainAsked(const AdminAsked& asked) {
-  const std::string instance = ReadDrain(asked.body);
-  if (instance == wiring_->settings.name) {
-    AnswerAdmin(asked.tag, kOk, "{\"draining\":true}");
-    LOG(INFO) << "event=drain_asked instance=" << instance;
-    // The same road as an ordinary end: the main thread takes the signal.
-    kill(getpid(), SIGTERM);
-    return;
-  }
-  const membership::Member* known = roster_.Find(instance);
-  if (known == nullptr) {
-    AnswerAdmin(asked.tag, kNotFound, ErrorBody("no such instance"));
-    return;
-  }
-  AnswerAdmin(asked.tag, kMisdirected,
-              "{\"error\":\"ask that instance itself\",\"address\":\"" +
-                  known->address + "\"}");
-}
-
-void ControlTask::OnKeepers(const KeepersReported& report) {
-  if (status_asked_.erase(report.tag) == 0) return;
-  InstanceStatus status;
-  status.instance = wiring_->settings.name;
-  status.leaving = wiring_->leaving;
-  status.node = node_->view(Now());
-  status.members = node_->members();
-  status.keepers = report.keepers;
-  status.duties = duties_->kept();
-  status.watched = duties_->watched();
-  status.unresolved = unresolved_;
-  AnswerAdmin(report.tag, kOk, WriteStatus(status));
-}
-
 void ControlTask::OnSuspicion(const std::string& instance, bool failed) {
   const core::TimePoint now = Now();
   const bool before = roster_.Suspected(now, instance);
@@ -226,10 +122,6 @@
   DriveDuties(membership::RosterChanged{});
 }
 
-void ControlTask::AnswerAdmin(uint64_t tag, int status, std::string body) {
-  wiring_->entry.Send(AdminAnswered{tag, status, std::move(body)});
-}
-
 void ControlTask::DriveNode(configuration::Event event) {
   events_.push_back(std::move(event));
   if (driving_) return;
@@ -256,15 +148,6 @@
                  std::get_if<configuration::ReplyToPeer>(&action)) {
     wiring_->keeper.Send(
         ControlReplied{reply->tag, wire::WritePeerAnswer(reply->answer)});
-  } else if (const auto* done =
-                 std::get_if<configuration::PublishDone>(&action)) {
-    AnswerAdmin(done->tag, StatusOf(done->status), WritePublished(*done));
-  } else if (const auto* force =
-                 std::get_if<configuration::ForceDone>(&action)) {
-    AnswerAdmin(force->tag, kOk, WriteForce(*force));
-  } else if (const auto* history =
-                 std::get_if<configuration::HistoryDone>(&action)) {
-    AnswerAdmin(history->tag, kOk, WriteHistory(*history));
   } else if (const auto* changed =
                  std::get_if<configuration::DocumentsChanged>(&action)) {
     LOG(INFO) << "event=configuration_in_force revision=" << changed->revision
@@ -276,6 +159,8 @@
     ShareRoster();
     BuildCatalog();
     DriveDuties(membership::RosterChanged{});
+  } else {
+    AnswerOperator(action);
   }
 }
 
--- a/src/ryefoldd/control_task.h
+++ b/src/ryefoldd/control_task.h
@@ -36,6 +36,8 @@
   void OnKeepers(const KeepersReported& report);
   void OnDrainAsked(const AdminAsked& asked);
   void OnSuspicion(const std::string& instance, bool failed);
+  /// Passes on what the node has found out for an operator.
+  void AnswerOperator(const core::configuration::Action& action);
   void AnswerAdmin(uint64_t tag, int status, std::string body);
 
   // Configuration.
