Documents: the databases of a group change one at a time

With two changed at once a majority of the old set and one of the new need not share a database, and a write confirmed under the old list can be lost by a promotion under the new one. The test fails without the check (three findings missing).

--- a/src/libsettings/catalog.cc
+++ b/src/libsettings/catalog.cc
@@ -2,9 +2,11 @@
 
 #include <json/json.h>
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <utility>
+#include <vector>
 
 #include "document_parts.h"
 #include "ryefold/wire/document.h"
@@ -87,6 +89,33 @@
   }
 }
 
+/// Databases of one list that the other lacks.
+size_t CountMissing(const std::vector<core::DatabaseSpec>& from,
+                    const std::vector<core::DatabaseSpec>& in) {
+  return static_cast<size_t>(std::count_if(
+      from.begin(), from.end(), [&in](const core::DatabaseSpec& spec) {
+        return std::none_of(in.begin(), in.end(),
+                            [&spec](const core::DatabaseSpec& other) {
+                              return other.database == spec.database;
+                            });
+      }));
+}
+
+/// With two databases changed at once, a majority of the old set and one of
+/// the new need not share a database: instances that still have the old list
+/// could confirm writes which a promotion under the new list does not see, and
+/// callers would lose what they were told is done.
+void CheckDatabaseChange(const core::GroupSpec& before,
+                         const core::GroupSpec& after, Reader* reader) {
+  const size_t changed = CountMissing(before.databases, after.databases) +
+                         CountMissing(after.databases, before.databases);
+  if (changed <= 1) return;
+  reader->Report("databases",
+                 "changes " + std::to_string(changed) + " databases at once",
+                 "one added or one removed; publish the next change once the "
+                 "group is level");
+}
+
 void ReadOne(const std::string& key, Reader* reader, Parts* parts) {
   if (HasPrefix(key, kTemplate)) {
     parts->templates[key.substr(kTemplate.size())] = ReadTemplate(reader);
@@ -179,6 +208,11 @@
   Findings published;
   Parts all = parts;
   Parts before = ReadAll(base, &published);
+  root.Members("groups", [&](const std::string& name, Reader* reader) {
+    const auto old = before.groups.find(name);
+    if (old == before.groups.end()) return;
+    CheckDatabaseChange(old->second, parts.groups[name], reader);
+  });
   all.templates.merge(before.templates);
   all.groups.merge(before.groups);
   root.Members("workspaces", [&](const std::string& name, Reader* reader) {
--- a/testsuite/settings_catalog/catalog_test.cc
+++ b/testsuite/settings_catalog/catalog_test.cc
@@ -83,6 +83,27 @@
   EXPECT_NE(findings[0].problem.find("exceeds"), std::string::npos);
 }
 
+// An operator replaces a database in one step. Instances that have not heard of
+// it yet count a majority of the old three, the others one of the new three,
+// and the two need share no database: a write that was told done could be lost
+// by a promotion.
+TEST(Catalog, DatabasesOfAGroupChangeOneAtATime) {
+  const Documents base = {{"group/cards", R"({"databases":["a","b","c"]})"}};
+  const auto findings_of = [&base](const std::string& databases) {
+    wire::Findings findings;
+    ParseDocuments("ops.json",
+                   R"({"groups": {"cards": {"databases": )" + databases + "}}}",
+                   base, &findings);
+    return findings;
+  };
+  EXPECT_TRUE(findings_of(R"(["c", "b", "a"])").empty());
+  EXPECT_TRUE(findings_of(R"(["a", "b", "c", "d"])").empty());
+  EXPECT_TRUE(findings_of(R"(["a", "b"])").empty());
+  EXPECT_EQ(findings_of(R"(["b", "c", "d"])").size(), 1U);
+  EXPECT_EQ(findings_of(R"(["a"])").size(), 1U);
+  EXPECT_EQ(findings_of(R"(["a", "b", "c", "d", "e"])").size(), 1U);
+}
+
 // Somebody deletes a template that a workspace still uses, in a change that
 // raced with the workspace's own. Only that workspace may be affected; callers
 // of all others notice nothing.
