A request that keeps losing its keeper is given up after three losses

Cause: a repeatable request whose handling fails ends the keeper task, is sent again and ends the next one. After: 3 times, answered unknown within a second. The daemon's tasks are a library now, so that tests can run them.

--- a/src/libcore/entry/forwarder_events.cc
+++ b/src/libcore/entry/forwarder_events.cc
@@ -5,6 +5,11 @@
 namespace ryefold::core::entry {
 namespace {
 
+/// Copies of one request that may be lost before it is given up. A request
+/// that makes whoever handles it fail would otherwise be carried from keeper to
+/// keeper, and each failure takes the requests of others with it.
+constexpr uint32_t kMaxLosses = 3;
+
 /// The instance did not take the call on, and another one may: it is leaving,
 /// or does not know yet what is in force.
 bool TurnsAway(const StatementAnswer& answer) {
@@ -143,6 +148,7 @@
     if (latest) RetryLater(pending, Reason::kInstanceLost);
   } else if (event.may_have_arrived) {
     pending->lost = true;
+    ++pending->losses;
     MayBeLost(pending);
   } else {
     NeverArrived(pending);
@@ -211,7 +217,8 @@
        request.kind == StatementKind::kWrite && !request.repeatable);
   if (recorded) {
     BeginSettling(pending);
-  } else if (request.repeatable && !pending->in_transaction()) {
+  } else if (request.repeatable && !pending->in_transaction() &&
+             pending->losses < kMaxLosses) {
     RetryLater(pending, Reason::kInstanceLost);
   } else {
     FinishUnknown(pending, Reason::kInstanceLost);
--- a/src/libcore/entry/forwarder_impl.h
+++ b/src/libcore/entry/forwarder_impl.h
@@ -40,6 +40,8 @@
   /// Instances tried since the ranking was last walked from its start.
   std::vector<std::string> tried;
   uint32_t rounds = 0;
+  /// Copies that were lost with the instance that held them.
+  uint32_t losses = 0;
   /// When to send or settle again; the far future when not planned.
   TimePoint retry_at = TimePoint::max();
   /// When this request has to be looked at.
--- a/src/ryefoldd/main.cc
+++ b/src/ryefoldd/main.cc
@@ -16,10 +16,9 @@
 
 #include "ryefold/settings/instance.h"
 #include "ryefold/task/supervisor.h"
-#include "ryefoldd/control_task.h"
-#include "ryefoldd/entry_task.h"
 #include "ryefoldd/keeper_task.h"
 #include "ryefoldd/messages.h"
+#include "ryefoldd/tree.h"
 
 namespace ryefold::ryefoldd {
 namespace {
@@ -104,30 +103,12 @@
   return true;
 }
 
-/// Children start in this order and stop in reverse, so the callers' port is
-/// the last to open and the first to close.
-void FillTree(task::Supervisor* supervisor, Wiring* wiring) {
-  supervisor->OnChild([wiring](const task::ChildEvent& event) {
-    if (event.failure.empty()) return;
-    LOG(ERROR) << "event=task_failed task=" << event.child
-               << " restarted=" << event.restarted << " failure=\""
-               << event.failure << "\"";
-    wiring->metrics.TaskRestarted(event.child);
-    if (event.child == "keeper") wiring->entry.Send(KeeperTaskFailed{});
-  });
-  supervisor->Add("control",
-                  [wiring] { return std::make_unique<ControlTask>(wiring); });
-  supervisor->Add("keeper",
-                  [wiring] { return std::make_unique<KeeperTask>(wiring); });
-  supervisor->Add("entry",
-                  [wiring] { return std::make_unique<EntryTask>(wiring); });
-}
-
 int Serve(const settings::InstanceSettings& instance) {
   const sigset_t signals = BlockSignals();
   Wiring wiring(instance);
   task::Supervisor supervisor("ryefoldd", task::RestartLimit{});
-  FillTree(&supervisor, &wiring);
+  FillTree(&supervisor, &wiring,
+           [&wiring] { return std::make_unique<KeeperTask>(&wiring); });
   supervisor.Start();
   std::atomic<bool> gave_up{false};
   std::thread watcher(
--- a/testsuite/entry_forwarder/forwarder_test.cc
+++ b/testsuite/entry_forwarder/forwarder_test.cc
@@ -248,6 +248,28 @@
   EXPECT_EQ(Answer(), "done");
 }
 
+// A request touches a defect and ends every keeper task that handles it. Sent
+// on until its deadline it would end one keeper after the other, and callers of
+// other groups would see their requests fail for no reason of theirs.
+TEST_F(ForwarderTest, ARequestThatKeepsLosingItsKeeperIsGivenUp) {
+  Handle(0, RequestArrived{1, Read(60000)});
+  int losses = 0;
+  while (Answer().empty()) {
+    ASSERT_LT(losses, 10);
+    const Forward* forward = Find<Forward>();
+    if (forward == nullptr) {
+      Wait(60000);
+      continue;
+    }
+    ++losses;
+    const CallId call = forward->call;
+    Handle(now_ + 1, PeerFailed{call, /*may_have_arrived=*/true});
+  }
+  EXPECT_EQ(losses, 3);
+  EXPECT_EQ(Answer(), "unknown instance_lost");
+  EXPECT_LT(now_, 1000);
+}
+
 // One copy was lost on the way back, the other is refused. The first may have
 // run, so nobody can say that the request did not.
 TEST_F(ForwarderTest, ARefusalDoesNotSpeakForALostCopy) {
