--- a/src/ryefoldctl/documents.cc
+++ b/src/ryefoldctl/documents.cc
@@ -83,6 +83,14 @@
   return kExitFindings;
 }
 
+/// What is published, and the file checked against it.
+int ReadBoth(const Invocation& invocation, Client* client, Published* published,
+             settings::Documents* documents) {
+  const int code = FetchPublished(invocation, client, published);
+  if (code != kExitOk) return code;
+  return ReadOperatorsFile(invocation, *published, documents);
+}
+
 /// Documents of the file that differ from what is published.
 settings::Documents Changed(const settings::Documents& documents,
                             const Published& published) {
@@ -177,10 +185,7 @@
 int Diff(const Invocation& invocation, Client* client) {
   Published published;
   settings::Documents documents;
-  int code = FetchPublished(invocation, client, &published);
-  if (code == kExitOk) {
-    code = ReadOperatorsFile(invocation, published, &documents);
-  }
+  const int code = ReadBoth(invocation, client, &published, &documents);
   if (code != kExitOk) return code;
   Json::Value list(Json::arrayValue);
   for (const auto& [key, text] : Changed(documents, published)) {
@@ -203,10 +208,7 @@
 int Publish(const Invocation& invocation, Client* client) {
   Published published;
   settings::Documents documents;
-  int code = FetchPublished(invocation, client, &published);
-  if (code == kExitOk) {
-    code = ReadOperatorsFile(invocation, published, &documents);
-  }
+  const int code = ReadBoth(invocation, client, &published, &documents);
   if (code != kExitOk) return code;
   Json::Value edits(Json::arrayValue);
   for (const auto& [key, text] : Changed(documents, published)) {
--- a/src/ryefoldd/entry_forwarding.cc
+++ b/src/ryefoldd/entry_forwarding.cc
@@ -70,7 +70,7 @@
   reply.status = wire::StatusOf(action.answer);
   reply.body =
       wire::WriteCallerAnswer(action.answer, waiting.request_id, waiting.token);
-  if (action.answer.kind() == core::OutcomeKind::kNotRun) {
+  if (reply.status == kUnavailable) {
     reply.headers["Retry-After"] =
         RetryAfterSeconds(action.answer.retry_after());
   }
--- a/testsuite/interface_bad_input/run.sh
+++ b/testsuite/interface_bad_input/run.sh
@@ -61,7 +61,11 @@
 expect "unknown path" 404 "http://$entry/v1/nothing" -d '{}'
 expect "wrong method" 405 "$statement" -X GET
 expect "operators' call without key" 401 "http://$entry/v1/admin/status"
-expect "SQL error" 422 "$statement" -H "$auth" -d '{"workspace":"'$workspace'","sql":"SELEC 1"}'
+expect "SQL error" 422 "$statement" -D "$TMP/headers" -H "$auth" -d '{"workspace":"'$workspace'","sql":"SELEC 1"}'
+if grep -qi '^retry-after' "$TMP/headers"; then
+  echo "FAILED: a statement that the database rejects is asked to come back"
+  failures=$((failures + 1))
+fi
 expect_body "SQL error was not run" '.outcome == "not_run" and .reason == "sql_error"'
 head -c 3000000 /dev/zero | tr '\0' 'x' >"$TMP/big"
 expect "oversized body" 413 "$statement" -H "$auth" --data-binary "@$TMP/big"
