A repeated change is never denied while an earlier attempt may be under way

Trace: a change through one instance was answered unknown, its put being slow; the repeat through another, cut off from the store, was answered 'not taken'; a moment later the first put took effect. Change: a repeat says that it is one, and is then answered unknown where a first attempt would be told not taken; ryefoldctl marks its repeats.

--- a/src/include/ryefold/core/configuration/node.h
+++ b/src/include/ryefold/core/configuration/node.h
@@ -105,6 +105,10 @@
   Tag tag = 0;
   Change change;
   TimePoint deadline;
+  /// The operator has sent this change id before and does not know what came
+  /// of it. That attempt may still be on its way to the store, so it is never
+  /// told that the change will not be in force.
+  bool repeat = false;
 };
 /// Asks once how many instances have `revision` in force.
 struct ForceArrived {
@@ -151,7 +155,8 @@
   kAccepted,
   /// Nothing of it is or will be in force.
   kConflict,
-  /// Nothing of it is or will be in force; the store could not be reached.
+  /// Nothing of it is or will be in force, unless it is sent again; the store
+  /// could not be reached. Never said to a repeat.
   kUnavailable,
   /// It may be in the store, or it is there but too few instances are known
   /// to hold it. Repeating the same change_id settles it.
--- a/src/libcore/configuration/publisher.cc
+++ b/src/libcore/configuration/publisher.cc
@@ -25,6 +25,7 @@
   pending.tag = request.tag;
   pending.change = request.change;
   pending.deadline = request.deadline;
+  pending.repeat = request.repeat;
   pending.next_try = now;
   pending_.push_back(std::move(pending));
   if (!Valid(request.change)) {
@@ -275,9 +276,11 @@
   for (Entry entry = pending_.begin(); entry != pending_.end();) {
     const Entry present = entry++;
     if (present->deadline > now) continue;
-    // With a put under way, or none known to have failed for good, "not
-    // taken" could turn out false.
-    const bool certain = present->placed == 0 && present->unsettled == 0;
+    // With a put under way, here or from an earlier attempt elsewhere, "not
+    // taken" could turn out false: an operator told so would publish something
+    // else and find the first change in force as well.
+    const bool certain =
+        present->placed == 0 && present->unsettled == 0 && !present->repeat;
     Finish(present,
            certain ? PublishStatus::kUnavailable : PublishStatus::kUnknown);
   }
--- a/src/libcore/configuration/publisher.h
+++ b/src/libcore/configuration/publisher.h
@@ -30,6 +30,7 @@
     Tag tag = 0;
     Change change;
     TimePoint deadline;
+    bool repeat = false;
     /// Revision at which the log holds it; 0 before that.
     uint64_t placed = 0;
     /// Revision of a put whose effect is not known.
--- a/src/ryefoldctl/documents.cc
+++ b/src/ryefoldctl/documents.cc
@@ -145,13 +145,14 @@
   body["change_id"] = FreshChangeId();
   body["author"] = invocation.author;
   body["changes"] = std::move(edits);
-  const std::string text = ToText(body);
   Reply reply;
   for (int i = 0; i < kSettleTries; ++i) {
-    reply = client->Post("/v1/admin/publish", text);
+    body["repeat"] = i > 0;
+    reply = client->Post("/v1/admin/publish", ToText(body));
     const bool settled = reply.reached && reply.status != kUnknownOutcome;
     if (settled) return ReportPublished(invocation, reply);
-    if (!reply.reached && !reply.lost) return ReportFailure(reply);
+    const bool never_sent = !reply.reached && !reply.lost;
+    if (never_sent && i == 0) return ReportFailure(reply);
     // The change may be in the store although nobody could tell us. Another
     // attempt with the same id finds it there instead of adding it twice.
     std::cerr << "ryefoldctl: outcome not known yet, asking again\n";
--- a/src/ryefoldd/admin_codec.cc
+++ b/src/ryefoldd/admin_codec.cc
@@ -139,13 +139,14 @@
 
 }  // namespace
 
-Change ReadPublish(const std::string& body, wire::Findings* findings) {
-  Change change;
+PublishCall ReadPublish(const std::string& body, wire::Findings* findings) {
+  PublishCall call;
+  Change& change = call.change;
   Json::Value value;
   std::string problem;
   if (!Parse(body, &value, &problem) || !value.isObject()) {
     Report(findings, "", "not a JSON object: " + problem, "an object");
-    return change;
+    return call;
   }
   const Json::Value& id = value["change_id"];
   if (id.isString() && !id.asString().empty() &&
@@ -155,19 +156,25 @@
     Report(findings, "change_id", "missing or not a name",
            "text of 1 to 200 bytes, new for each change");
   }
+  const Json::Value& repeat = value["repeat"];
+  if (repeat.isBool()) {
+    call.repeat = repeat.asBool();
+  } else if (!repeat.isNull()) {
+    Report(findings, "repeat", "of a wrong type", "true or false");
+  }
   if (value["author"].isString()) change.author = value["author"].asString();
   change.time = std::chrono::floor<std::chrono::seconds>(
       std::chrono::system_clock::now());
   const Json::Value& changes = value["changes"];
   if (!changes.isArray() || changes.empty()) {
     Report(findings, "changes", "missing or empty", "a list of changes");
-    return change;
+    return call;
   }
   for (Json::ArrayIndex i = 0; i < changes.size(); ++i) {
     const std::string path = "changes[" + std::to_string(i) + "]";
     change.edits.push_back(ReadEdit(changes[i], path, findings));
   }
-  return change;
+  return call;
 }
 
 std::string ReadDrain(const std::string& body) {
--- a/src/ryefoldd/admin_codec.h
+++ b/src/ryefoldd/admin_codec.h
@@ -13,9 +13,15 @@
 
 namespace ryefold::ryefoldd {
 
-/// Body of POST /v1/admin/publish. Findings tell what is wrong with it.
-core::configuration::Change ReadPublish(const std::string& body,
-                                        wire::Findings* findings);
+/// Body of POST /v1/admin/publish.
+struct PublishCall {
+  core::configuration::Change change;
+  /// This change id was sent before, with unknown outcome.
+  bool repeat = false;
+};
+
+/// Findings tell what is wrong with the body.
+PublishCall ReadPublish(const std::string& body, wire::Findings* findings);
 
 /// Instance named by the body of POST /v1/admin/drain, empty when unreadable.
 std::string ReadDrain(const std::string& body);
--- a/src/ryefoldd/control_admin.cc
+++ b/src/ryefoldd/control_admin.cc
@@ -58,15 +58,15 @@
                                asked.query_prefix));
   } else if (path == "/v1/admin/publish" && asked.method == "POST") {
     wire::Findings findings;
-    configuration::Change change = ReadPublish(asked.body, &findings);
+    PublishCall call = ReadPublish(asked.body, &findings);
     if (!findings.empty()) {
       AnswerAdmin(asked.tag, kBadRequest,
                   "{\"error\":\"the request has findings\",\"findings\":" +
                       wire::ToJson(findings) + "}");
       return;
     }
-    DriveNode(configuration::PublishArrived{asked.tag, std::move(change),
-                                            now + kPublishTime});
+    DriveNode(configuration::PublishArrived{asked.tag, std::move(call.change),
+                                            now + kPublishTime, call.repeat});
   } else if (path == "/v1/admin/force") {
     const uint64_t revision = std::strtoull(asked.query_revision.c_str(),
                                             /*endptr=*/nullptr, /*base=*/10);
--- a/testsuite/support/control/fleet.h
+++ b/testsuite/support/control/fleet.h
@@ -109,9 +109,9 @@
 
   // ---- what operators and entries do ----
   cfg::Tag Publish(size_t i, const cfg::Change& change,
-                   milliseconds patience = 8s) {
+                   milliseconds patience = 8s, bool repeat = false) {
     const cfg::Tag tag = next_tag_++;
-    Deliver(i, cfg::PublishArrived{tag, change, now_ + patience});
+    Deliver(i, cfg::PublishArrived{tag, change, now_ + patience, repeat});
     return tag;
   }
   /// The answer to a publish, null while there is none.
