Fake fleet: an answer to an ended process goes nowhere

Ruled out: the follower (it applies at the watched revision) and the publisher (no second put). A real process loses its connections with it, so the fault was the fake's.

--- a/testsuite/configuration_random/random_test.cc
+++ b/testsuite/configuration_random/random_test.cc
@@ -165,5 +165,14 @@
   run.Verify();
 }
 
+// An instance restarts while its watch is open at the store. The answer belongs
+// to the process before; the new one must not see it.
+TEST(ConfigurationSeeds, AnAnswerToTheProcessBeforeGoesNowhere) {
+  History run(16080814);
+  run.Faults(60);
+  run.Settle();
+  run.Verify();
+}
+
 }  // namespace
 }  // namespace ryefold::testing::control
--- a/testsuite/support/control/fleet.h
+++ b/testsuite/support/control/fleet.h
@@ -377,9 +377,12 @@
 
 inline void Fleet::Do(size_t i, const cfg::StoreCall& action) {
   const auto settled = std::make_shared<bool>(false);
-  const auto settle = [this, i, settled,
+  // An answer to a process that has ended since goes nowhere: its connection
+  // went with it. Handed to the next process of that name, it would be taken
+  // for the answer to a call that happens to have the same number.
+  const auto settle = [this, i, settled, generation = at(i).generation,
                        call = action.call](const cfg::StoreAnswer* answer) {
-    if (*settled) return;
+    if (*settled || at(i).generation != generation) return;
     *settled = true;
     if (answer != nullptr) {
       Deliver(i, cfg::StoreAnswered{call, *answer});
