--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -7,7 +7,8 @@
   g++ cmake make ninja-build pkg-config ccache clang-format clang-tidy curl jq
   libevent-dev libnghttp2-dev prometheus-cpp-dev libcxxopts-dev
   libgoogle-glog-dev libboost-dev librapidcheck-dev libjsoncpp-dev
-  libmsgpack-cxx-dev libsqlite3-dev libxxhash-dev libssl-dev libgtest-dev
+  libmsgpack-cxx-dev libsqlite3-dev libxxhash-dev libzstd-dev libssl-dev
+  libgtest-dev
   libbenchmark-dev
 )
 
--- /dev/null
+++ b/src/include/ryefold/core/mirror/mirror.h
@@ -0,0 +1,170 @@
+#pragma once
+
+// Keeps a copy of the store's keys current: from the store itself, or from
+// instances that follow it.
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "ryefold/core/event.h"
+#include "ryefold/core/mirror/change_log.h"
+#include "ryefold/core/mirror/entry.h"
+#include "ryefold/core/mirror/relay_plan.h"
+#include "ryefold/core/types.h"
+
+namespace ryefold::core::mirror {
+
+struct MirrorTiming {
+  /// Longest wait of one watch at the store, which counts each call; a
+  /// connection that has gone silent is found by the kernel's probes, not by
+  /// the wait's end.
+  std::chrono::milliseconds wait{20000};
+  /// The same for an instance that others hear from: its silence is theirs.
+  std::chrono::milliseconds relay_wait{2000};
+  /// Time allowed for an answer to arrive once there is one: a listing of a
+  /// large fleet is a megabyte, and the slowest links carry two megabits a
+  /// second. A path that is silent is found by the kernel's probes long before.
+  std::chrono::milliseconds grace{6000};
+  /// The same for a relay's watch. Together with `relay_wait` well below the
+  /// shortest time in which a large fleet has to act on a change, 5 s.
+  std::chrono::milliseconds relay_grace{1000};
+  /// Least time between two watches. Each answer takes in all changes since,
+  /// so this bounds the calls made in a storm of changes.
+  std::chrono::milliseconds pace{1000};
+  /// The same for a relay: its pace is added to that of nobody else. While a
+  /// large fleet is restarted one by one, 300 ms cost a third of all calls.
+  std::chrono::milliseconds relay_pace{600};
+  /// The same when the whole fleet starts for the first time: each start is a
+  /// change, and nobody waits to be served yet.
+  std::chrono::milliseconds first_pace{2000};
+  std::chrono::milliseconds first_span{8000};
+  /// The same while callers wait for something that is missing.
+  std::chrono::milliseconds hurried_pace{200};
+  /// Pause after a failed call, doubled up to the most, half of it at random:
+  /// a store that turns calls away for their number must not get them all again
+  /// at one moment.
+  std::chrono::milliseconds retry{300};
+  std::chrono::milliseconds most_retry{1000};
+  /// An instance that has never listed the store serves nobody, so its first
+  /// tries follow each other without doubling, some five seconds long. After a
+  /// loss of all power during an outage of the store, most of the pause was
+  /// time in which callers were refused.
+  uint32_t eager_tries = 20;
+  /// Everything is read anew this often, in case a watch missed a change.
+  std::chrono::milliseconds reread{30000};
+  /// One call at a relay: it answers after `ask_wait` in any case, and is taken
+  /// to be lost when nothing has come `ask_grace` after that. A suspended
+  /// process keeps its connections, so that only this shows it.
+  std::chrono::milliseconds ask_wait{1000};
+  std::chrono::milliseconds ask_grace{700};
+  /// How long a relay that was lost, and one that does not follow the store at
+  /// present, is passed over.
+  std::chrono::milliseconds after_lost{3000};
+  std::chrono::milliseconds after_not_current{1000};
+  /// How long the store is passed over for a relay after it failed, where the
+  /// instance should follow it, and how long it is followed when no relay is
+  /// left, where it should not.
+  std::chrono::milliseconds store_again{3000};
+  std::chrono::milliseconds relays_again{2000};
+};
+
+/// How soon the next watch is wanted.
+enum class WatchPace : uint8_t { kUsual, kHurried, kAtOnce };
+
+/// Calls on the sources. Each leads to one `Answered` of the mirror, never
+/// before the call has returned.
+class MirrorPort {
+ public:
+  virtual ~MirrorPort() = default;
+  /// One page of what the store holds, from behind the key `after` on.
+  virtual void ListStore(const std::string& after, TimePoint deadline) = 0;
+  /// Changes at the store since the revision `after`.
+  virtual void WatchStore(uint64_t after, std::chrono::milliseconds wait,
+                          TimePoint deadline) = 0;
+  /// The same at an instance; 0: everything.
+  virtual void AskRelay(const std::string& instance, uint64_t after,
+                        std::chrono::milliseconds wait, TimePoint deadline) = 0;
+};
+
+/// State machine; one call is under way at any time. When history is lost or
+/// answers fail it reads everything anew; until then the old copy stands.
+class Mirror {
+ public:
+  /// `changed` holds the keys that were written or deleted; after a listing
+  /// all that differ.
+  using Listener = std::function<WatchPace(const EntryMap& entries,
+                                           const EntryMap& changed)>;
+
+  Mirror(MirrorTiming timing, bool first_start, uint64_t seed, MirrorPort* port,
+         EventSink* events, Listener listener);
+
+  void Start(TimePoint now);
+  void SetPlan(RelayPlan plan) { plan_ = std::move(plan); }
+  void Answered(TimePoint now, const ReadResult& result);
+  void Tick(TimePoint now);
+  TimePoint next_deadline() const { return due_; }
+
+  const ChangeLog& log() const { return log_; }
+  /// Store revision that the copy reflects.
+  uint64_t as_of() const { return log_.as_of(); }
+  /// Whether the copy is kept current from the store itself at present.
+  bool follows_store() const { return listed_ && store_good_; }
+  /// The instance that it is kept current from; empty for the store.
+  const std::string& relay() const { return relay_; }
+
+ private:
+  enum class Call : uint8_t { kNone, kList, kWatch, kAsk };
+
+  /// Makes the next call, or sets the time for it.
+  void Next(TimePoint now);
+  void List(TimePoint now);
+  void WatchStore(TimePoint now);
+  void AskRelay(TimePoint now);
+  std::string ChooseRelay(TimePoint now) const;
+  void PageListed(TimePoint now, const Reading& page);
+  void TakeAll(TimePoint now, EntryMap listing, uint64_t as_of);
+  void Take(TimePoint now, const Reading& reading);
+  void Compare(const Reading& reading);
+  void Tell(TimePoint now, const EntryMap& changed);
+  void StoreFailed(TimePoint now, ReadError error);
+  void StoreServed(TimePoint now);
+  void RelayFailed(TimePoint now, ReadError error);
+  void Follow(const std::string& relay);
+  std::chrono::milliseconds RetryPause();
+
+  const MirrorTiming timing_;
+  const bool first_start_;
+  MirrorPort* port_;
+  EventSink* events_;
+  Listener listener_;
+  std::mt19937_64 random_;
+  RelayPlan plan_;
+  ChangeLog log_;
+  EntryMap listing_;
+  uint64_t listing_as_of_ = 0;
+  bool listed_ = false;
+  /// What the store holds has to be listed before it can be watched.
+  bool list_due_ = true;
+  Call call_ = Call::kNone;
+  std::string relay_;
+  /// A relay could not tell the differences: it is asked for everything.
+  bool ask_all_ = false;
+  bool store_good_ = false;
+  std::map<std::string, TimePoint> relay_not_before_;
+  TimePoint store_not_before_;
+  /// The store is followed until then though the plan says otherwise.
+  TimePoint store_until_;
+  TimePoint failing_since_;
+  uint32_t failures_ = 0;
+  TimePoint reread_at_;
+  TimePoint next_watch_at_;
+  TimePoint started_at_;
+  TimePoint due_ = TimePoint::max();
+};
+
+}  // namespace ryefold::core::mirror
--- /dev/null
+++ b/src/include/ryefold/wire/mirror_codec.h
@@ -0,0 +1,39 @@
+#pragma once
+
+// What instances ask each other about changes in the store.
+
+#include <chrono>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "ryefold/core/mirror/entry.h"
+#include "ryefold/core/mirror/relay.h"
+
+namespace ryefold::wire {
+
+constexpr std::string_view kPeerMirror = "/peer/mirror";
+
+struct RelayQuestion {
+  /// Store revision that the asking instance has read up to; 0: nothing.
+  uint64_t after = 0;
+  std::chrono::milliseconds wait{0};
+};
+
+std::string WriteRelayQuestion(const RelayQuestion& question);
+std::optional<RelayQuestion> ReadRelayQuestion(std::string_view body);
+
+/// Large values travel as the difference to what the other side holds, and the
+/// whole is compressed.
+std::string WriteRelayAnswer(const core::mirror::RelayAnswer& answer);
+
+/// The entry that this side holds under a key; null when it holds none.
+using EntryLookup =
+    std::function<const core::mirror::Entry*(const std::string& key)>;
+
+/// `kHistoryGone` when a difference is to a value that this side does not hold.
+core::mirror::ReadResult ReadRelayAnswer(std::string_view body,
+                                         const EntryLookup& lookup);
+
+}  // namespace ryefold::wire
--- /dev/null
+++ b/src/libcore/mirror/mirror.cc
@@ -0,0 +1,261 @@
+#include "ryefold/core/mirror/mirror.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace ryefold::core::mirror {
+
+using std::chrono::milliseconds;
+
+Mirror::Mirror(MirrorTiming timing, bool first_start, uint64_t seed,
+               MirrorPort* port, EventSink* events, Listener listener)
+    : timing_(timing),
+      first_start_(first_start),
+      port_(port),
+      events_(events),
+      listener_(std::move(listener)),
+      random_(seed) {}
+
+void Mirror::Start(TimePoint now) {
+  started_at_ = now;
+  Next(now);
+}
+
+std::string Mirror::ChooseRelay(TimePoint now) const {
+  for (const std::string& relay : plan_.sources) {
+    const auto found = relay_not_before_.find(relay);
+    if (found == relay_not_before_.end() || now >= found->second) return relay;
+  }
+  return "";
+}
+
+/// Instances that should follow the store hear from a relay while the store
+/// fails them: it may be out of reach of this one alone. The others follow the
+/// store while no relay serves them.
+void Mirror::Next(TimePoint now) {
+  due_ = TimePoint::max();
+  const bool wanted = plan_.follows_store || now < store_until_;
+  const bool possible = now >= store_not_before_;
+  const std::string relay = listed_ ? ChooseRelay(now) : "";
+  if (!relay.empty() && !(wanted && possible)) {
+    Follow(relay);
+    AskRelay(now);
+    return;
+  }
+  Follow("");
+  if (!possible) {
+    due_ = store_not_before_;
+    return;
+  }
+  if (!plan_.follows_store) store_until_ = now + timing_.relays_again;
+  if (list_due_ || now >= reread_at_) {
+    List(now);
+  } else {
+    WatchStore(now);
+  }
+}
+
+void Mirror::Follow(const std::string& relay) {
+  if (relay == relay_) return;
+  Event(events_, EventWeight::kState, "source_changed")
+      .Add("to", relay.empty() ? "store" : relay)
+      .Add("from", relay_.empty() ? "store" : relay_)
+      .Add("as_of", as_of());
+  relay_ = relay;
+  if (!relay.empty()) store_good_ = false;
+}
+
+void Mirror::List(TimePoint now) {
+  call_ = Call::kList;
+  const std::string after = listing_.empty() ? "" : listing_.rbegin()->first;
+  port_->ListStore(after, now + timing_.grace);
+}
+
+void Mirror::WatchStore(TimePoint now) {
+  if (now < next_watch_at_) {
+    due_ = next_watch_at_;
+    return;
+  }
+  const bool first = first_start_ && now < started_at_ + timing_.first_span;
+  const milliseconds usual = plan_.relays ? timing_.relay_pace : timing_.pace;
+  next_watch_at_ = now + (first ? timing_.first_pace : usual);
+  const bool brief = plan_.relays || !plan_.follows_store;
+  const milliseconds wait = brief ? timing_.relay_wait : timing_.wait;
+  const milliseconds grace = brief ? timing_.relay_grace : timing_.grace;
+  call_ = Call::kWatch;
+  port_->WatchStore(as_of(), wait, now + wait + grace);
+}
+
+void Mirror::AskRelay(TimePoint now) {
+  call_ = Call::kAsk;
+  listing_.clear();  // a listing that was begun is not gone on with later
+  const uint64_t after = ask_all_ ? 0 : as_of();
+  port_->AskRelay(relay_, after, timing_.ask_wait,
+                  now + timing_.ask_wait + timing_.ask_grace);
+}
+
+void Mirror::Answered(TimePoint now, const ReadResult& result) {
+  const Call call = std::exchange(call_, Call::kNone);
+  if (call == Call::kAsk) {
+    const bool behind = result && result.value().as_of < as_of();
+    if (!result) {
+      RelayFailed(now, result.error());
+    } else if (behind) {
+      RelayFailed(now, ReadError::kNotCurrent);
+    } else {
+      ask_all_ = false;
+      Take(now, result.value());
+      Compare(result.value());
+    }
+  } else if (!result) {
+    StoreFailed(now, result.error());
+  } else {
+    StoreServed(now);
+    if (call == Call::kList) {
+      PageListed(now, result.value());
+    } else {
+      Take(now, result.value());
+    }
+  }
+  Next(now);
+}
+
+void Mirror::PageListed(TimePoint now, const Reading& page) {
+  // Pages are no snapshot: watching from the first page's revision on brings
+  // whatever changed while the others were read.
+  if (listing_.empty()) listing_as_of_ = page.as_of;
+  for (const Entry& entry : page.entries) listing_[entry.key] = entry;
+  list_due_ = page.more && !page.entries.empty();
+  if (list_due_) return;
+  reread_at_ = now + timing_.reread;
+  TakeAll(now, std::exchange(listing_, EntryMap()), listing_as_of_);
+}
+
+void Mirror::TakeAll(TimePoint now, EntryMap listing, uint64_t as_of) {
+  const bool first = !std::exchange(listed_, true);
+  if (first) {
+    log_.Reset(listing, as_of);
+    Tell(now, listing);
+    return;
+  }
+  EntryMap changed;
+  for (const auto& [key, entry] : listing) {
+    const auto known = log_.entries().find(key);
+    if (known == log_.entries().end() ||
+        known->second.revision != entry.revision) {
+      changed[key] = entry;
+    }
+  }
+  for (const auto& [key, entry] : log_.entries()) {
+    if (listing.count(key) > 0) continue;
+    changed[key] = entry;
+    changed[key].deleted = true;
+    changed[key].revision = as_of;
+  }
+  Reading reading;
+  reading.as_of = as_of;
+  for (auto& [key, entry] : changed) reading.entries.push_back(entry);
+  Take(now, reading);
+}
+
+void Mirror::Take(TimePoint now, const Reading& reading) {
+  if (reading.whole) {
+    EntryMap listing;
+    for (const Entry& entry : reading.entries) listing[entry.key] = entry;
+    TakeAll(now, std::move(listing), reading.as_of);
+    return;
+  }
+  EntryMap changed;
+  for (const Entry& entry : reading.entries) changed[entry.key] = entry;
+  log_.Apply(reading.entries, reading.as_of);
+  if (!changed.empty()) Tell(now, changed);
+}
+
+/// A relay can find a change that an earlier read had missed, and the store
+/// repeats none: an instance that has read beyond the change's revision would
+/// serve without it for good. Only the digests show it.
+void Mirror::Compare(const Reading& reading) {
+  if (!reading.digest.has_value() || reading.digest == log_.digest()) return;
+  ask_all_ = !reading.whole;
+  Event(events_, EventWeight::kState, "copy_differs")
+      .Add("relay", relay_)
+      .Add("as_of", as_of())
+      .Add("whole", reading.whole ? "yes" : "no");
+}
+
+void Mirror::Tell(TimePoint now, const EntryMap& changed) {
+  switch (listener_(log_.entries(), changed)) {
+    case WatchPace::kUsual:
+      break;
+    case WatchPace::kHurried:
+      next_watch_at_ = std::min(next_watch_at_, now + timing_.hurried_pace);
+      break;
+    case WatchPace::kAtOnce:
+      next_watch_at_ = TimePoint();
+      break;
+  }
+}
+
+milliseconds Mirror::RetryPause() {
+  constexpr uint32_t kMostDoublings = 4;
+  const bool eager = !listed_ && failures_ < timing_.eager_tries;
+  const uint32_t doublings = eager ? 0 : std::min(failures_, kMostDoublings);
+  const milliseconds longest =
+      std::min(timing_.retry * (1 << doublings), timing_.most_retry);
+  std::uniform_int_distribution<int64_t> half(0, longest.count() / 2);
+  return longest / 2 + milliseconds(half(random_));
+}
+
+void Mirror::StoreFailed(TimePoint now, ReadError error) {
+  listing_.clear();
+  list_due_ = true;
+  // Changes may have been made that the watch did not bring; the store itself
+  // is well.
+  if (error == ReadError::kHistoryGone) return;
+  store_good_ = false;
+  ++failures_;
+  const bool relayed = listed_ && !ChooseRelay(now).empty();
+  const bool rest = relayed && plan_.follows_store;
+  store_not_before_ = now + (rest ? timing_.store_again : RetryPause());
+  store_until_ = TimePoint();
+  if (failing_since_ != TimePoint()) return;
+  failing_since_ = now;
+  Event(events_, EventWeight::kState, "store_lost")
+      .Add("error", ReadErrorName(error))
+      .Add("as_of", as_of());
+}
+
+void Mirror::StoreServed(TimePoint now) {
+  store_good_ = true;
+  failures_ = 0;
+  if (failing_since_ == TimePoint()) return;
+  Event(events_, EventWeight::kState, "store_regained")
+      .Add("after", now - failing_since_)
+      .Add("as_of", as_of());
+  failing_since_ = TimePoint();
+}
+
+void Mirror::RelayFailed(TimePoint now, ReadError error) {
+  if (error == ReadError::kHistoryGone && !ask_all_) {
+    ask_all_ = true;
+    return;
+  }
+  ask_all_ = false;
+  const bool lost = error != ReadError::kNotCurrent;
+  Event(events_, EventWeight::kState, "relay_failed")
+      .Add("relay", relay_)
+      .Add("error", ReadErrorName(error))
+      .Add("as_of", as_of());
+  relay_not_before_[relay_] =
+      now + (lost ? timing_.after_lost : timing_.after_not_current);
+  // With no relay left everybody turns to the store, which may be down; they
+  // must not all do so at one moment.
+  if (ChooseRelay(now).empty()) store_not_before_ = now + RetryPause();
+}
+
+void Mirror::Tick(TimePoint now) {
+  if (now < due_ || call_ != Call::kNone) return;
+  Next(now);
+}
+
+}  // namespace ryefold::core::mirror
--- /dev/null
+++ b/src/libcore/mirror/relay.cc
@@ -0,0 +1,63 @@
+#include "ryefold/core/mirror/relay.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace ryefold::core::mirror {
+
+RelayAnswer Relay::AnswerFor(uint64_t after) const {
+  RelayAnswer answer;
+  answer.current = current_;
+  if (!current_) return answer;
+  answer.as_of = log_->as_of();
+  answer.digest = log_->digest();
+  auto changes = after == 0 ? std::nullopt : log_->Since(after);
+  answer.whole = !changes.has_value();
+  answer.changes = answer.whole ? log_->All() : std::move(*changes);
+  return answer;
+}
+
+void Relay::Asked(TimePoint now, RelayCall call, uint64_t after,
+                  TimePoint wait_until) {
+  const bool news = after < log_->as_of();
+  if (!current_ || news || now >= wait_until) {
+    port_->AnswerRelayed(call, AnswerFor(after));
+    return;
+  }
+  waiting_[call] = {after, wait_until};
+}
+
+template <class Due>
+void Relay::AnswerIf(const Due& due) {
+  std::vector<std::pair<RelayCall, uint64_t>> answered;
+  for (const auto& [call, each] : waiting_) {
+    if (due(each)) answered.emplace_back(call, each.after);
+  }
+  for (const auto& [call, after] : answered) {
+    waiting_.erase(call);
+    port_->AnswerRelayed(call, AnswerFor(after));
+  }
+}
+
+void Relay::SetCurrent(bool current) {
+  if (current == current_) return;
+  current_ = current;
+  if (!current) AnswerIf([](const Waiting&) { return true; });
+}
+
+void Relay::Changed() {
+  const uint64_t as_of = log_->as_of();
+  AnswerIf([as_of](const Waiting& each) { return each.after < as_of; });
+}
+
+void Relay::Tick(TimePoint now) {
+  AnswerIf([now](const Waiting& each) { return each.until <= now; });
+}
+
+TimePoint Relay::next_deadline() const {
+  TimePoint next = TimePoint::max();
+  for (const auto& [call, each] : waiting_) next = std::min(next, each.until);
+  return next;
+}
+
+}  // namespace ryefold::core::mirror
--- a/src/libcore/session/proxy_callers.cc
+++ b/src/libcore/session/proxy_callers.cc
@@ -298,8 +298,17 @@
 void Proxy::Impl::Refuse(TimePoint now, Request* request, ErrorCode error,
                          milliseconds retry_after, const std::string& why) {
   ++counters_.refused;
+  const Group* group = GroupOf(*request);
+  const DatabaseState* primary =
+      group == nullptr ? nullptr : FindDatabase(group->primary);
   Event(events_, EventWeight::kRequest, "refused")
       .Add("request", request->statement_id)
+      .Add("primary", primary == nullptr ? "unknown" : primary->info.id)
+      .Add("connections", primary == nullptr ? 0 : primary->connections)
+      .Add("in_flight", primary == nullptr ? 0 : primary->in_flight)
+      .Add("waiting", group == nullptr ? 0
+                                       : group->primary_queue.size() +
+                                             group->read_queue.size())
       .Add("route", request->route->name)
       .Add("reason", why)
       .Add("attempts", request->attempts)
--- /dev/null
+++ b/src/libwire/mirror_codec.cc
@@ -0,0 +1,150 @@
+#include "ryefold/wire/mirror_codec.h"
+
+#include <utility>
+#include <vector>
+
+#include "compression.h"
+#include "msgpack_body.h"
+
+namespace ryefold::wire {
+namespace {
+
+using core::mirror::Change;
+using core::mirror::Entry;
+using core::mirror::ReadError;
+using core::mirror::Reading;
+using core::mirror::ReadResult;
+using core::mirror::RelayAnswer;
+using std::chrono::milliseconds;
+
+/// Everything that the store holds at the target size is some two megabytes.
+constexpr size_t kMostBytes = size_t{64} << 20;
+/// Longest wait that a question may ask for.
+constexpr milliseconds kMostWait{30000};
+
+struct QuestionMap {
+  uint64_t after = 0;
+  int64_t wait_ms = 0;
+  MSGPACK_DEFINE_MAP(MSGPACK_NVP("a", after), MSGPACK_NVP("w", wait_ms))
+};
+
+struct ChangeMap {
+  std::string key;
+  std::string value;
+  uint64_t revision = 0;
+  uint64_t created = 0;
+  uint64_t lease = 0;
+  bool deleted = false;
+  /// Not 0: `value` is compressed against the value of this revision.
+  uint64_t base = 0;
+  MSGPACK_DEFINE_MAP(MSGPACK_NVP("k", key), MSGPACK_NVP("v", value),
+                     MSGPACK_NVP("r", revision), MSGPACK_NVP("c", created),
+                     MSGPACK_NVP("l", lease), MSGPACK_NVP("d", deleted),
+                     MSGPACK_NVP("b", base))
+};
+
+struct AnswerMap {
+  bool current = false;
+  bool whole = false;
+  uint64_t as_of = 0;
+  uint64_t digest = 0;
+  std::vector<ChangeMap> changes;
+  MSGPACK_DEFINE_MAP(MSGPACK_NVP("o", current), MSGPACK_NVP("w", whole),
+                     MSGPACK_NVP("a", as_of), MSGPACK_NVP("h", digest),
+                     MSGPACK_NVP("c", changes))
+};
+
+ChangeMap ToMap(const Change& change) {
+  const Entry& entry = change.entry;
+  ChangeMap map;
+  map.key = entry.key;
+  map.revision = entry.revision;
+  map.created = entry.created;
+  map.lease = entry.lease;
+  map.deleted = entry.deleted;
+  if (change.base != nullptr) {
+    map.base = change.base_revision;
+    map.value = Compress(entry.value, *change.base);
+  } else {
+    map.value = entry.value;
+  }
+  return map;
+}
+
+enum class Outcome : uint8_t { kRead, kKnown, kOtherBase, kUnreadable };
+
+/// `kKnown`: this side holds the revision already.
+Outcome FromMap(ChangeMap map, const EntryLookup& lookup, Entry* entry) {
+  entry->key = std::move(map.key);
+  entry->revision = map.revision;
+  entry->created = map.created;
+  entry->lease = map.lease;
+  entry->deleted = map.deleted;
+  if (map.base == 0) {
+    entry->value = std::move(map.value);
+    return Outcome::kRead;
+  }
+  const Entry* held = lookup(entry->key);
+  if (held != nullptr && held->revision == map.revision) return Outcome::kKnown;
+  if (held == nullptr || held->revision != map.base) return Outcome::kOtherBase;
+  auto value = Decompress(map.value, held->value, kMostBytes);
+  if (!value.has_value()) return Outcome::kUnreadable;
+  entry->value = std::move(*value);
+  return Outcome::kRead;
+}
+
+}  // namespace
+
+std::string WriteRelayQuestion(const RelayQuestion& question) {
+  return Pack(QuestionMap{question.after, question.wait.count()});
+}
+
+std::optional<RelayQuestion> ReadRelayQuestion(std::string_view body) {
+  QuestionMap map;
+  if (!Unpack(body, &map) || map.wait_ms < 0 ||
+      map.wait_ms > kMostWait.count()) {
+    return std::nullopt;
+  }
+  return RelayQuestion{map.after, milliseconds(map.wait_ms)};
+}
+
+std::string WriteRelayAnswer(const RelayAnswer& answer) {
+  AnswerMap map;
+  map.current = answer.current;
+  map.whole = answer.whole;
+  map.as_of = answer.as_of;
+  map.digest = answer.digest;
+  map.changes.reserve(answer.changes.size());
+  for (const Change& change : answer.changes) {
+    map.changes.push_back(ToMap(change));
+  }
+  return Compress(Pack(map), "");
+}
+
+ReadResult ReadRelayAnswer(std::string_view body, const EntryLookup& lookup) {
+  const auto text = Decompress(body, "", kMostBytes);
+  AnswerMap map;
+  if (!text.has_value() || !Unpack(*text, &map)) return ReadError::kUnreadable;
+  if (!map.current) return ReadError::kNotCurrent;
+  Reading reading;
+  reading.whole = map.whole;
+  reading.as_of = map.as_of;
+  reading.digest = map.digest;
+  for (ChangeMap& change : map.changes) {
+    Entry entry;
+    switch (FromMap(std::move(change), lookup, &entry)) {
+      case Outcome::kRead:
+        reading.entries.push_back(std::move(entry));
+        break;
+      case Outcome::kKnown:
+        break;
+      case Outcome::kOtherBase:
+        return ReadError::kHistoryGone;
+      case Outcome::kUnreadable:
+        return ReadError::kUnreadable;
+    }
+  }
+  return reading;
+}
+
+}  // namespace ryefold::wire
--- a/src/libwire/session_codec.cc
+++ b/src/libwire/session_codec.cc
@@ -1,11 +1,11 @@
 #include "ryefold/wire/session_codec.h"
 
-#include <exception>
 #include <map>
-#include <msgpack.hpp>
 #include <utility>
 #include <vector>
 
+#include "msgpack_body.h"
+
 namespace ryefold::wire {
 namespace {
 
@@ -82,26 +82,6 @@
                      MSGPACK_NVP("p", position))
 };
 
-template <class Map>
-std::string Pack(const Map& map) {
-  msgpack::sbuffer buffer;
-  msgpack::pack(buffer, map);
-  return {buffer.data(), buffer.size()};
-}
-
-template <class Map>
-bool Unpack(std::string_view body, Map* map) {
-  try {
-    const msgpack::object_handle handle =
-        msgpack::unpack(body.data(), body.size());
-    handle.get().convert(*map);
-    return true;
-  } catch (const std::exception&) {
-    // The caller reports what it could not read.
-    return false;
-  }
-}
-
 }  // namespace
 
 std::string WriteForwarded(const ForwardedStatement& statement) {
--- a/src/ryefoldd/forwarding_host.cc
+++ b/src/ryefoldd/forwarding_host.cc
@@ -26,24 +26,22 @@
 
 }  // namespace
 
-ForwardingHost::ForwardingHost(task::Loop* loop, core::EventSink* events)
-    : loop_(loop),
-      events_(events),
-      peers_(loop),
-      server_(loop->base(),
-              [this](const wire::PeerCall& call) { OnCall(call); }) {}
+ForwardingHost::ForwardingHost(task::Loop* loop, PeerExchange* peers,
+                               core::EventSink* events)
+    : loop_(loop), peers_(peers), events_(events) {
+  peers_->Serve(wire::kPeerSessionStatement,
+                [this](const wire::PeerCall& call) { OnStatement(call); });
+  peers_->Serve(wire::kPeerSessionRelease,
+                [this](const wire::PeerCall& call) { OnRelease(call); });
+}
 
 ForwardingHost::~ForwardingHost() = default;
 
-std::string ForwardingHost::Listen(const std::string& address) {
-  return server_.Listen(address);
-}
-
 void ForwardingHost::Forward(ForwardId call, const std::string& keeper,
                              const ForwardedStatement& statement,
                              core::TimePoint deadline) {
-  const auto found = addresses_.find(keeper);
-  if (found == addresses_.end()) {
+  wire::PeerClient* peer = peers_->To(keeper);
+  if (peer == nullptr) {
     loop_->Post([this, call] {
       Answered(call, {wire::CallStatus::kNotSent, {}});
     });
@@ -51,16 +49,13 @@
   }
   const auto left = deadline - BootTime();
   Sent& sent = sent_[call];
-  sent.address = found->second;
-  sent.stream =
-      peers_.At(sent.address)
-          ->Call(
-              std::string(wire::kPeerSessionStatement),
-              wire::WriteForwarded(statement), steady_clock::now() + left,
-              [this, call](const wire::PeerResult& result) {
-                // Never from within `Forward`.
-                loop_->Post([this, call, result] { Answered(call, result); });
-              });
+  sent.keeper = keeper;
+  sent.stream = peer->Call(
+      std::string(wire::kPeerSessionStatement), wire::WriteForwarded(statement),
+      steady_clock::now() + left, [this, call](const wire::PeerResult& result) {
+        // Never from within `Forward`.
+        loop_->Post([this, call, result] { Answered(call, result); });
+      });
 }
 
 void ForwardingHost::Answered(ForwardId call, const wire::PeerResult& result) {
@@ -83,32 +78,20 @@
 void ForwardingHost::Cancel(ForwardId call) {
   const auto found = sent_.find(call);
   if (found == sent_.end()) return;
-  peers_.At(found->second.address)->Cancel(found->second.stream);
+  wire::PeerClient* peer = peers_->To(found->second.keeper);
+  if (peer != nullptr) peer->Cancel(found->second.stream);
   sent_.erase(found);
 }
 
 void ForwardingHost::Release(const std::string& keeper,
                              const std::string& session) {
-  const auto found = addresses_.find(keeper);
-  if (found == addresses_.end()) return;
-  peers_.At(found->second)
-      ->Call(std::string(wire::kPeerSessionRelease), session,
+  wire::PeerClient* peer = peers_->To(keeper);
+  if (peer == nullptr) return;
+  peer->Call(std::string(wire::kPeerSessionRelease), session,
              steady_clock::now() + kReleaseTime,
              [](const wire::PeerResult&) {});
 }
 
-void ForwardingHost::OnCall(const wire::PeerCall& call) {
-  if (call.path() == wire::kPeerSessionStatement) {
-    OnStatement(call);
-  } else if (call.path() == wire::kPeerSessionRelease) {
-    OnRelease(call.body());
-    call.Reply("");
-  } else {
-    call.Refuse();
-  }
-  Turn();
-}
-
 void ForwardingHost::OnStatement(const wire::PeerCall& call) {
   std::optional<ForwardedStatement> statement =
       wire::ReadForwarded(call.body());
@@ -127,6 +110,7 @@
     loop_->Post([this, caller, number] { OnGone(caller, number); });
   });
   proxy_->AdoptStatement(BootTime(), caller, std::move(*statement));
+  Turn();
 }
 
 /// The instance that waits for the answer is gone or has given up. Nobody else
@@ -138,11 +122,14 @@
   Turn();
 }
 
-void ForwardingHost::OnRelease(const std::string& session) {
-  const auto caller = adopted_.Find(session);
-  if (!caller.has_value()) return;
-  adopted_.Erase(*caller);
-  GiveUp(*caller);
+void ForwardingHost::OnRelease(const wire::PeerCall& call) {
+  const auto caller = adopted_.Find(call.body());
+  if (caller.has_value()) {
+    adopted_.Erase(*caller);
+    GiveUp(*caller);
+  }
+  call.Reply("");
+  Turn();
 }
 
 void ForwardingHost::GiveUp(CallerId caller) {
--- a/src/ryefoldd/forwarding_host.h
+++ b/src/ryefoldd/forwarding_host.h
@@ -3,7 +3,6 @@
 // Streams on which instances run each other's statements.
 
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -13,7 +12,7 @@
 #include "ryefold/core/session/proxy.h"
 #include "ryefold/task/loop.h"
 #include "ryefold/wire/peer.h"
-#include "ryefoldd/peer_pool.h"
+#include "ryefoldd/peer_exchange.h"
 
 namespace ryefold::ryefoldd {
 
@@ -21,7 +20,8 @@
 /// as a keeper. On the task's loop.
 class ForwardingHost : public core::session::Forwarder {
  public:
-  ForwardingHost(task::Loop* loop, core::EventSink* events);
+  ForwardingHost(task::Loop* loop, PeerExchange* peers,
+                 core::EventSink* events);
   ~ForwardingHost() override;
   ForwardingHost(const ForwardingHost&) = delete;
   ForwardingHost& operator=(const ForwardingHost&) = delete;
@@ -29,13 +29,6 @@
   void Attach(core::session::Proxy* proxy) { proxy_ = proxy; }
   /// Called after each event, when deadlines or output may have changed.
   void OnTurn(std::function<void()> turn) { turn_ = std::move(turn); }
-  /// An error text, empty on success.
-  std::string Listen(const std::string& address);
-  /// Where instances listen, by name.
-  void SetAddresses(std::map<std::string, std::string> addresses) {
-    addresses_ = std::move(addresses);
-  }
-
   void Forward(core::session::ForwardId call, const std::string& keeper,
                const core::session::ForwardedStatement& statement,
                core::TimePoint deadline) override;
@@ -46,13 +39,12 @@
 
  private:
   struct Sent {
-    std::string address;
+    std::string keeper;
     uint64_t stream = 0;
   };
 
-  void OnCall(const wire::PeerCall& call);
   void OnStatement(const wire::PeerCall& call);
-  void OnRelease(const std::string& session);
+  void OnRelease(const wire::PeerCall& call);
   void OnGone(core::session::CallerId caller, uint64_t statement);
   void GiveUp(core::session::CallerId caller);
   void Answered(core::session::ForwardId call, const wire::PeerResult& result);
@@ -61,12 +53,10 @@
   }
 
   task::Loop* loop_;
+  PeerExchange* peers_;
   core::EventSink* events_;
   core::session::Proxy* proxy_ = nullptr;
   std::function<void()> turn_;
-  PeerPool peers_;
-  wire::PeerServer server_;
-  std::map<std::string, std::string> addresses_;
   std::unordered_map<core::session::ForwardId, Sent> sent_;
   core::session::AdoptedSessions adopted_;
   /// Statements of other instances that wait for their answers.
--- a/src/ryefoldd/gateway_failover.cc
+++ b/src/ryefoldd/gateway_failover.cc
@@ -45,8 +45,8 @@
   surroundings_.loop->Cancel(observe_timer_);
 }
 
-void GatewayFailover::OnItems(const platform::StoreMirror::Items& items,
-                              const platform::StoreMirror::Items& changed,
+void GatewayFailover::OnItems(const core::mirror::EntryMap& items,
+                              const core::mirror::EntryMap& changed,
                               uint64_t as_of) {
   duty_.OnItems(items, changed, as_of);
   for (const auto& [key, item] : changed) {
--- a/src/ryefoldd/gateway_failover.h
+++ b/src/ryefoldd/gateway_failover.h
@@ -10,10 +10,10 @@
 
 #include "platform/duty.h"
 #include "platform/store_client.h"
-#include "platform/store_mirror.h"
 #include "ryefold/core/event.h"
 #include "ryefold/core/failover/coordinator.h"
 #include "ryefold/core/failover/election.h"
+#include "ryefold/core/mirror/entry.h"
 #include "ryefold/core/session/proxy.h"
 #include "ryefold/settings/gateway.h"
 #include "ryefold/task/loop.h"
@@ -41,8 +41,8 @@
   GatewayFailover& operator=(const GatewayFailover&) = delete;
 
   /// Takes what a mirror of the store has found changed.
-  void OnItems(const platform::StoreMirror::Items& items,
-               const platform::StoreMirror::Items& changed, uint64_t as_of);
+  void OnItems(const core::mirror::EntryMap& items,
+               const core::mirror::EntryMap& changed, uint64_t as_of);
   /// All instances that there are, for this one's rank among them.
   void SetInstances(
       const std::vector<core::session::KeeperCandidate>& instances);
--- a/src/ryefoldd/gateway_task.cc
+++ b/src/ryefoldd/gateway_task.cc
@@ -15,7 +15,7 @@
 #include "platform/line_gateway.h"
 #include "platform/members.h"
 #include "platform/store_client.h"
-#include "platform/store_mirror.h"
+#include "platform/store_feed.h"
 #include "ryefold/core/session/proxy.h"
 #include "ryefold/task/clock.h"
 #include "ryefold/task/event_log.h"
@@ -24,6 +24,8 @@
 #include "ryefoldd/gateway_failover.h"
 #include "ryefoldd/gateway_metrics.h"
 #include "ryefoldd/http_reply.h"
+#include "ryefoldd/mirror_host.h"
+#include "ryefoldd/peer_exchange.h"
 
 namespace ryefold::ryefoldd {
 namespace {
@@ -33,9 +35,6 @@
 using std::chrono::milliseconds;
 using task::BootTime;
 
-/// Everything in the store: configuration, databases and the instances' own
-/// keys come in one watch, which costs one call where three would cost three.
-constexpr const char* kWholeStore = "";
 /// A drained instance keeps serving this long after it has become unready:
 /// the balancer asks once a second and takes it out after two misses.
 constexpr milliseconds kBalancerNotice{2400};
@@ -75,9 +74,10 @@
                                                     events_.get(), &metrics_);
     gateway_->Attach(proxy_.get());
     gateway_->OnTurn([this] { Rearm(); });
+    StartPeers();
     StartStore();
     StartFailover();
-    StartForwarding();
+    StartMembers();
     mirror_->Start();
     StartServers();
     StartSignals();
@@ -96,27 +96,43 @@
     for (event* signal : signals_) event_free(signal);
     signals_.clear();
     gateway_.reset();
-    forwarding_.reset();
     members_.reset();
     ready_server_.reset();
     metrics_server_.reset();
+    peers_.reset();
+    forwarding_.reset();
     mirror_.reset();
     failover_.reset();
+    feed_.reset();
     store_.reset();
     events_.reset();
   }
 
  private:
+  void StartPeers() {
+    if (settings_.peer_address.empty()) return;
+    peers_ = std::make_unique<PeerExchange>(loop_);
+    Listen([this] { return peers_->Listen(settings_.peer_address); }, 0);
+    forwarding_ =
+        std::make_unique<ForwardingHost>(loop_, peers_.get(), events_.get());
+    forwarding_->Attach(proxy_.get());
+    forwarding_->OnTurn([this] {
+      gateway_->Flush();
+      Rearm();
+    });
+    proxy_->SetForwarder(forwarding_.get());
+  }
+
   void StartStore() {
     store_ = std::make_unique<platform::StoreClient>(loop_->base(),
                                                      settings_.store_address);
+    feed_ = std::make_unique<platform::StoreFeed>(store_.get());
     directory_ =
         std::make_unique<platform::Directory>(events_.get(), proxy_.get());
-    mirror_ = std::make_unique<platform::StoreMirror>(
-        loop_, store_.get(), events_.get(), kWholeStore,
-        platform::MirrorTiming(), settings_.first_start,
-        [this](const platform::StoreMirror::Items& items,
-               const platform::StoreMirror::Items& changed) {
+    mirror_ = std::make_unique<MirrorHost>(
+        loop_, feed_.get(), peers_.get(), events_.get(), settings_.first_start,
+        [this](const core::mirror::EntryMap& items,
+               const core::mirror::EntryMap& changed) {
           directory_->OnItems(items, changed);
           failover_->OnItems(items, changed, mirror_->as_of());
           if (members_ != nullptr) members_->OnItems(changed);
@@ -126,17 +142,18 @@
         });
   }
 
-  platform::WatchPace PaceAfter(
-      const platform::StoreMirror::Items& changed) const {
+  core::mirror::WatchPace PaceAfter(
+      const core::mirror::EntryMap& changed) const {
     // Who takes the vacant duty has to be heard of at once, or every instance
     // would reach for it.
     if (changed.count(platform::kHolderKey) > 0) {
-      return platform::WatchPace::kAtOnce;
+      return core::mirror::WatchPace::kAtOnce;
     }
     // After a restart beside a store that has lost the databases' entries
     // callers wait for these to come back. In a first start nobody does.
     const bool hurry = !settings_.first_start && proxy_->LacksDatabases();
-    return hurry ? platform::WatchPace::kHurried : platform::WatchPace::kUsual;
+    return hurry ? core::mirror::WatchPace::kHurried
+                 : core::mirror::WatchPace::kUsual;
   }
 
   void StartFailover() {
@@ -150,16 +167,8 @@
         std::make_unique<GatewayFailover>(settings_, std::move(surroundings));
   }
 
-  void StartForwarding() {
-    if (settings_.peer_address.empty()) return;
-    forwarding_ = std::make_unique<ForwardingHost>(loop_, events_.get());
-    forwarding_->Attach(proxy_.get());
-    forwarding_->OnTurn([this] {
-      gateway_->Flush();
-      Rearm();
-    });
-    Listen([this] { return forwarding_->Listen(settings_.peer_address); }, 0);
-    proxy_->SetForwarder(forwarding_.get());
+  void StartMembers() {
+    if (peers_ == nullptr) return;
     members_ = std::make_unique<platform::Members>(
         loop_, store_.get(), events_.get(),
         platform::Instance{settings_.name, settings_.peer_address,
@@ -173,13 +182,16 @@
   void TakeInstances(const std::vector<platform::Instance>& instances) {
     std::map<std::string, std::string> addresses;
     std::vector<core::session::KeeperCandidate> candidates;
+    std::vector<core::mirror::Member> members;
     for (const platform::Instance& instance : instances) {
       addresses[instance.name] = instance.address;
       candidates.push_back({instance.name, instance.failure_domain});
+      members.push_back({instance.name, instance.failure_domain});
     }
-    forwarding_->SetAddresses(std::move(addresses));
+    peers_->SetAddresses(std::move(addresses));
     proxy_->SetInstances(BootTime(), settings_.name, candidates);
     failover_->SetInstances(candidates);
+    mirror_->SetMembers({settings_.name, settings_.failure_domain}, members);
   }
 
   void StartServers() {
@@ -291,6 +303,7 @@
     draining_ = true;
     failover_->Retire();
     if (members_ != nullptr) members_->Leave();
+    mirror_->Retire();
     Event(events_.get(), EventWeight::kState, "drain_begin")
         .Add("callers", proxy_->callers())
         .Add("grace", settings_.stop_grace);
@@ -331,8 +344,10 @@
   std::unique_ptr<core::session::Proxy> proxy_;
   std::unique_ptr<platform::StoreClient> store_;
   std::unique_ptr<platform::Directory> directory_;
-  std::unique_ptr<platform::StoreMirror> mirror_;
+  std::unique_ptr<platform::StoreFeed> feed_;
+  std::unique_ptr<MirrorHost> mirror_;
   std::unique_ptr<platform::Members> members_;
+  std::unique_ptr<PeerExchange> peers_;
   std::unique_ptr<ForwardingHost> forwarding_;
   std::unique_ptr<GatewayFailover> failover_;
   std::unique_ptr<wire::HttpServer> ready_server_;
--- /dev/null
+++ b/src/ryefoldd/mirror_host.cc
@@ -0,0 +1,156 @@
+#include "ryefoldd/mirror_host.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "ryefold/task/clock.h"
+#include "ryefold/wire/mirror_codec.h"
+
+namespace ryefold::ryefoldd {
+namespace {
+
+using core::Event;
+using core::EventWeight;
+using core::mirror::ReadError;
+using core::mirror::ReadResult;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+using task::BootTime;
+
+/// Deadlines of the core count suspensions, those of sockets do not.
+core::TimePoint OnSteadyClock(core::TimePoint when) {
+  return steady_clock::now() + (when - BootTime());
+}
+
+}  // namespace
+
+MirrorHost::MirrorHost(task::Loop* loop, core::mirror::StoreSource* store,
+                       PeerExchange* peers, core::EventSink* events,
+                       bool first_start,
+                       core::mirror::Mirror::Listener listener)
+    : loop_(loop),
+      store_(store),
+      peers_(peers),
+      events_(events),
+      mirror_(core::mirror::MirrorTiming(), first_start,
+              static_cast<uint64_t>(BootTime().time_since_epoch().count()),
+              this, events, std::move(listener)),
+      relay_(&mirror_.log(), this) {
+  if (peers_ == nullptr) return;
+  peers_->Serve(wire::kPeerMirror,
+                [this](const wire::PeerCall& call) { OnQuestion(call); });
+}
+
+MirrorHost::~MirrorHost() { loop_->Cancel(timer_); }
+
+void MirrorHost::Start() {
+  mirror_.Start(BootTime());
+  Rearm();
+}
+
+void MirrorHost::SetMembers(const core::mirror::Member& self,
+                            const std::vector<core::mirror::Member>& members) {
+  mirror_.SetPlan(core::mirror::PlanRelays(self, members));
+}
+
+void MirrorHost::Retire() {
+  retired_ = true;
+  relay_.SetCurrent(false);
+}
+
+void MirrorHost::ListStore(const std::string& after, core::TimePoint deadline) {
+  store_->List(after, OnSteadyClock(deadline),
+               [this](const ReadResult& result) { Answered(result); });
+}
+
+void MirrorHost::WatchStore(uint64_t after, milliseconds wait,
+                            core::TimePoint deadline) {
+  store_->Watch(after, wait, OnSteadyClock(deadline),
+                [this](const ReadResult& result) { Answered(result); });
+}
+
+void MirrorHost::AskRelay(const std::string& instance, uint64_t after,
+                          milliseconds wait, core::TimePoint deadline) {
+  wire::PeerClient* peer = peers_->To(instance);
+  if (peer == nullptr) {
+    loop_->Post([this] { Answered(ReadError::kUnreachable); });
+    return;
+  }
+  peer->Call(std::string(wire::kPeerMirror),
+             wire::WriteRelayQuestion({after, wait}), OnSteadyClock(deadline),
+             [this](const wire::PeerResult& result) {
+               // Never from within `AskRelay`.
+               loop_->Post([this, result] { RelayAnswered(result); });
+             });
+}
+
+void MirrorHost::RelayAnswered(const wire::PeerResult& result) {
+  if (result.status != wire::CallStatus::kOk) {
+    Answered(ReadError::kUnreachable);
+    return;
+  }
+  const core::mirror::EntryMap& held = mirror_.log().entries();
+  Answered(wire::ReadRelayAnswer(
+      result.body,
+      [&held](const std::string& key) -> const core::mirror::Entry* {
+        const auto found = held.find(key);
+        return found == held.end() ? nullptr : &found->second;
+      }));
+}
+
+void MirrorHost::Answered(const ReadResult& result) {
+  mirror_.Answered(BootTime(), result);
+  relay_.SetCurrent(mirror_.follows_store() && !retired_);
+  relay_.Changed();
+  Rearm();
+}
+
+void MirrorHost::OnQuestion(const wire::PeerCall& call) {
+  const auto question = wire::ReadRelayQuestion(call.body());
+  if (!question.has_value()) {
+    Event(events_, EventWeight::kState, "relay_question_unreadable")
+        .Add("bytes", call.body().size());
+    call.Refuse();
+    return;
+  }
+  const core::mirror::RelayCall id = ++last_call_;
+  calls_.insert_or_assign(id, call);
+  call.OnGone([this, id] {
+    loop_->Post([this, id] {
+      calls_.erase(id);
+      relay_.Gone(id);
+    });
+  });
+  const core::TimePoint now = BootTime();
+  relay_.Asked(now, id, question->after, now + question->wait);
+  Rearm();
+}
+
+void MirrorHost::AnswerRelayed(core::mirror::RelayCall call,
+                               const core::mirror::RelayAnswer& answer) {
+  const auto found = calls_.find(call);
+  if (found == calls_.end()) return;
+  const wire::PeerCall waiting = found->second;
+  calls_.erase(found);
+  waiting.Reply(wire::WriteRelayAnswer(answer));
+}
+
+void MirrorHost::Tick() {
+  armed_at_ = core::TimePoint::max();
+  const core::TimePoint now = BootTime();
+  mirror_.Tick(now);
+  relay_.Tick(now);
+  Rearm();
+}
+
+void MirrorHost::Rearm() {
+  const core::TimePoint next =
+      std::min(mirror_.next_deadline(), relay_.next_deadline());
+  if (next >= armed_at_) return;
+  loop_->Cancel(timer_);
+  armed_at_ = next;
+  timer_ = loop_->At(OnSteadyClock(next), [this] { Tick(); });
+}
+
+}  // namespace ryefold::ryefoldd
--- /dev/null
+++ b/src/ryefoldd/mirror_host.h
@@ -0,0 +1,73 @@
+#pragma once
+
+// Runs the mirror of the store on the task's loop: its calls on the store and
+// on other instances, and their calls on this one.
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "ryefold/core/event.h"
+#include "ryefold/core/mirror/mirror.h"
+#include "ryefold/core/mirror/relay.h"
+#include "ryefold/core/mirror/store_source.h"
+#include "ryefold/task/loop.h"
+#include "ryefold/wire/peer.h"
+#include "ryefoldd/peer_exchange.h"
+
+namespace ryefold::ryefoldd {
+
+class MirrorHost : public core::mirror::MirrorPort,
+                   public core::mirror::RelayPort {
+ public:
+  /// `peers` may be null: then the store is the only source.
+  MirrorHost(task::Loop* loop, core::mirror::StoreSource* store,
+             PeerExchange* peers, core::EventSink* events, bool first_start,
+             core::mirror::Mirror::Listener listener);
+  ~MirrorHost() override;
+  MirrorHost(const MirrorHost&) = delete;
+  MirrorHost& operator=(const MirrorHost&) = delete;
+
+  void Start();
+  void SetMembers(const core::mirror::Member& self,
+                  const std::vector<core::mirror::Member>& members);
+  /// This instance is leaving: others have to hear from another.
+  void Retire();
+
+  uint64_t as_of() const { return mirror_.as_of(); }
+  /// Instances that wait for news from here.
+  size_t listeners() const { return relay_.waiting(); }
+  /// Whether the store itself is the source.
+  bool follows_store() const { return mirror_.follows_store(); }
+
+  void ListStore(const std::string& after, core::TimePoint deadline) override;
+  void WatchStore(uint64_t after, std::chrono::milliseconds wait,
+                  core::TimePoint deadline) override;
+  void AskRelay(const std::string& instance, uint64_t after,
+                std::chrono::milliseconds wait,
+                core::TimePoint deadline) override;
+  void AnswerRelayed(core::mirror::RelayCall call,
+                     const core::mirror::RelayAnswer& answer) override;
+
+ private:
+  void Answered(const core::mirror::ReadResult& result);
+  void RelayAnswered(const wire::PeerResult& result);
+  void OnQuestion(const wire::PeerCall& call);
+  void Tick();
+  void Rearm();
+
+  task::Loop* loop_;
+  core::mirror::StoreSource* store_;
+  PeerExchange* peers_;
+  core::EventSink* events_;
+  core::mirror::Mirror mirror_;
+  core::mirror::Relay relay_;
+  bool retired_ = false;
+  core::mirror::RelayCall last_call_ = 0;
+  std::map<core::mirror::RelayCall, wire::PeerCall> calls_;
+  task::TimerId timer_ = 0;
+  core::TimePoint armed_at_ = core::TimePoint::max();
+};
+
+}  // namespace ryefold::ryefoldd
--- /dev/null
+++ b/testsuite/mirror_fleet/plan_test.cc
@@ -0,0 +1,77 @@
+// Who follows the store and who hears from whom.
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "ryefold/core/mirror/relay_plan.h"
+
+namespace ryefold::core::mirror {
+namespace {
+
+std::vector<Member> Members(int count) {
+  std::vector<Member> members;
+  for (int i = 0; i < count; ++i) {
+    members.push_back(
+        {"instance-" + std::to_string(i), "domain-" + std::to_string(i % 5)});
+  }
+  return members;
+}
+
+TEST(RelayPlan, LetsASmallFleetFollowTheStore) {
+  const std::vector<Member> members = Members(16);
+  for (const Member& member : members) {
+    const RelayPlan plan = PlanRelays(member, members);
+    EXPECT_TRUE(plan.follows_store);
+    EXPECT_FALSE(plan.relays);
+    EXPECT_FALSE(plan.sources.empty());
+  }
+}
+
+// An instance whose own key is missing from the list has no place in the plan;
+// if it heard from others only, two such instances could hear from each other.
+TEST(RelayPlan, LetsAnInstanceThatIsNotListedFollowTheStore) {
+  EXPECT_TRUE(PlanRelays({"newcomer", "domain-0"}, Members(100)).follows_store);
+}
+
+TEST(RelayPlan, SpreadsTheTargetFleetEvenly) {
+  const std::vector<Member> members = Members(1100);
+  std::map<std::string, int> heard_by;
+  size_t relays = 0;
+  for (const Member& member : members) {
+    const RelayPlan plan = PlanRelays(member, members);
+    EXPECT_EQ(plan.follows_store, plan.relays);
+    if (plan.relays) {
+      ++relays;
+      continue;
+    }
+    ASSERT_GE(plan.sources.size(), 4U);
+    ++heard_by[plan.sources.front()];
+  }
+  EXPECT_EQ(relays, 95U);
+  int most = 0;
+  for (const auto& [relay, count] : heard_by) most = std::max(most, count);
+  EXPECT_LE(most, 24);
+}
+
+// Every instance makes the plan for itself: the first sources of all have to
+// be instances that know themselves as relays.
+TEST(RelayPlan, IsTheSameByEverybodysReckoning) {
+  const std::vector<Member> members = Members(90);
+  std::set<std::string> relays;
+  for (const Member& member : members) {
+    if (PlanRelays(member, members).relays) relays.insert(member.instance);
+  }
+  for (const Member& member : members) {
+    for (const std::string& source : PlanRelays(member, members).sources) {
+      EXPECT_EQ(relays.count(source), 1U);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace ryefold::core::mirror
--- /dev/null
+++ b/testsuite/support/mirror/fleet.h
@@ -0,0 +1,418 @@
+#pragma once
+
+// Instances that keep copies of one store in virtual time, over links and a
+// store with faults to order. What goes between instances takes its wire form.
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "ryefold/core/mirror/mirror.h"
+#include "ryefold/core/mirror/relay.h"
+#include "ryefold/wire/mirror_codec.h"
+#include "testsuite/support/session/fake_cluster.h"
+
+namespace ryefold::testsuite {
+
+using core::mirror::Entry;
+using core::mirror::EntryMap;
+using core::mirror::ReadError;
+using core::mirror::Reading;
+using core::mirror::ReadResult;
+
+/// Keys with revisions, a history, and watches.
+class FakeStoreKeys {
+ public:
+  explicit FakeStoreKeys(VirtualClock* clock) : clock_(clock) {}
+
+  milliseconds delay{4};
+  bool down = false;
+  /// Instances that get no answer, and those that are told to go away.
+  std::set<std::string> silent_to;
+  std::set<std::string> refuses;
+  /// The next change is not told to watches.
+  bool skip_next_event = false;
+  uint64_t calls = 0;
+
+  void Put(const std::string& key, const std::string& value) {
+    Entry& entry = keys_[key];
+    entry.key = key;
+    entry.value = value;
+    entry.revision = ++revision_;
+    if (entry.created == 0) entry.created = revision_;
+    Changed(entry);
+  }
+  void Delete(const std::string& key) {
+    const auto found = keys_.find(key);
+    if (found == keys_.end()) return;
+    Entry entry = found->second;
+    keys_.erase(found);
+    entry.deleted = true;
+    entry.revision = ++revision_;
+    Changed(entry);
+  }
+  /// Watches from before now on are told that their history is gone.
+  void Compact() { history_from_ = revision_; }
+
+  void List(const std::string& instance, const std::string& after,
+            TimePoint deadline,
+            const std::function<void(const ReadResult&)>& done) {
+    if (!Reached(instance, deadline, done)) return;
+    Reading page;
+    page.as_of = revision_;
+    for (auto it = keys_.upper_bound(after); it != keys_.end(); ++it) {
+      if (page.entries.size() == kPage) {
+        page.more = true;
+        break;
+      }
+      page.entries.push_back(it->second);
+    }
+    clock_->After(delay, [done, page] { done(page); });
+  }
+
+  void Watch(const std::string& instance, uint64_t after, milliseconds wait,
+             TimePoint deadline,
+             const std::function<void(const ReadResult&)>& done) {
+    if (!Reached(instance, deadline, done)) return;
+    if (after < history_from_) {
+      clock_->After(delay, [done] { done(ReadError::kHistoryGone); });
+      return;
+    }
+    const uint64_t number = ++last_watch_;
+    watches_[number] = {instance, after, done, deadline};
+    clock_->After(wait, [this, number] { Answer(number); });
+    if (after < revision_) Answer(number);
+  }
+
+  const EntryMap& keys() const { return keys_; }
+  uint64_t revision() const { return revision_; }
+
+ private:
+  static constexpr size_t kPage = 50;
+  struct Waiting {
+    std::string instance;
+    uint64_t after = 0;
+    std::function<void(const ReadResult&)> done;
+    TimePoint deadline;
+  };
+
+  bool Reached(const std::string& instance, TimePoint deadline,
+               const std::function<void(const ReadResult&)>& done) {
+    ++calls;
+    if (silent_to.count(instance) > 0) {
+      clock_->At(deadline, [done] { done(ReadError::kUnreachable); });
+      return false;
+    }
+    if (down || refuses.count(instance) > 0) {
+      clock_->After(delay, [done] { done(ReadError::kUnreachable); });
+      return false;
+    }
+    return true;
+  }
+
+  void Changed(const Entry& entry) {
+    if (std::exchange(skip_next_event, false)) return;
+    history_.push_back(entry);
+    std::vector<uint64_t> all;
+    for (const auto& [number, watch] : watches_) all.push_back(number);
+    for (const uint64_t number : all) Answer(number);
+  }
+
+  void Answer(uint64_t number) {
+    const auto found = watches_.find(number);
+    if (found == watches_.end()) return;
+    const Waiting watch = found->second;
+    watches_.erase(found);
+    const bool cut = silent_to.count(watch.instance) > 0;
+    if (cut || down) {
+      const TimePoint when = cut ? watch.deadline : clock_->now() + delay;
+      clock_->At(when, [watch] { watch.done(ReadError::kUnreachable); });
+      return;
+    }
+    Reading events;
+    events.as_of = revision_;
+    for (const Entry& entry : history_) {
+      if (entry.revision > watch.after) events.entries.push_back(entry);
+    }
+    clock_->After(delay, [watch, events] { watch.done(events); });
+  }
+
+  VirtualClock* clock_;
+  EntryMap keys_;
+  std::vector<Entry> history_;
+  uint64_t revision_ = 1;
+  uint64_t history_from_ = 0;
+  uint64_t last_watch_ = 0;
+  std::map<uint64_t, Waiting> watches_;
+};
+
+class MirrorFleet;
+
+/// One process. Killed ones stay until the end, deaf and mute.
+class MirrorInstance : public core::mirror::MirrorPort,
+                       public core::mirror::RelayPort {
+ public:
+  MirrorInstance(MirrorFleet* fleet, std::string name, uint64_t seed);
+
+  void Start();
+  void SetMembers(const std::vector<core::mirror::Member>& members);
+  void Freeze(milliseconds span) { frozen_until_ = Now() + span; }
+  void Kill() { killed_ = true; }
+  bool killed() const { return killed_; }
+
+  const EntryMap& entries() const { return mirror_.log().entries(); }
+  const core::mirror::Mirror& mirror() const { return mirror_; }
+  const std::string& name() const { return name_; }
+  /// Bytes that this instance has received from others.
+  uint64_t bytes = 0;
+
+  void ListStore(const std::string& after, TimePoint deadline) override;
+  void WatchStore(uint64_t after, milliseconds wait,
+                  TimePoint deadline) override;
+  void AskRelay(const std::string& instance, uint64_t after, milliseconds wait,
+                TimePoint deadline) override;
+  void AnswerRelayed(core::mirror::RelayCall call,
+                     const core::mirror::RelayAnswer& answer) override;
+
+  /// Another instance asks; `done` gets the body.
+  void Asked(const std::string& question,
+             const std::function<void(const std::string&)>& done);
+  /// Runs when the process is awake; never when it was killed.
+  void Deliver(const std::function<void()>& work);
+
+ private:
+  TimePoint Now() const;
+  void Answered(const ReadResult& result);
+  void Tick();
+  void Turn();
+
+  MirrorFleet* fleet_;
+  const std::string name_;
+  bool killed_ = false;
+  TimePoint frozen_until_;
+  core::mirror::Mirror mirror_;
+  core::mirror::Relay relay_;
+  core::mirror::RelayCall last_call_ = 0;
+  std::map<core::mirror::RelayCall, std::function<void(const std::string&)>>
+      calls_;
+  uint64_t newest_seen_ = 0;
+};
+
+class MirrorFleet {
+ public:
+  /// Instances spread over three failure domains.
+  MirrorFleet(size_t instances, uint64_t seed) : store(&clock), random_(seed) {
+    for (size_t i = 0; i < instances; ++i) Add("instance-" + std::to_string(i));
+  }
+
+  void Add(const std::string& name) {
+    members_.push_back({name, "domain-" + std::to_string(added_++ % 3)});
+    all.push_back(std::make_unique<MirrorInstance>(this, name, random_()));
+  }
+  /// Tells everybody who is there. In a deployment that comes by the store too.
+  void TellMembers() {
+    std::vector<core::mirror::Member> living;
+    for (const core::mirror::Member& member : members_) {
+      const MirrorInstance* instance = Find(member.instance);
+      if (instance != nullptr) living.push_back(member);
+    }
+    for (const auto& each : all) each->SetMembers(living);
+  }
+  void Start() {
+    TellMembers();
+    for (const auto& each : all) each->Start();
+    clock.RunUntil(clock.now() + milliseconds(5000));
+  }
+  void RunFor(milliseconds span) { clock.RunUntil(clock.now() + span); }
+
+  MirrorInstance* Find(const std::string& name) {
+    for (const auto& each : all) {
+      if (each->name() == name && !each->killed()) return each.get();
+    }
+    return nullptr;
+  }
+  std::string DomainOf(const std::string& name) const {
+    for (const core::mirror::Member& member : members_) {
+      if (member.instance == name) return member.failure_domain;
+    }
+    return "";
+  }
+  /// Instances of which others hear.
+  std::vector<MirrorInstance*> Relays() {
+    std::vector<MirrorInstance*> relays;
+    for (const auto& each : all) {
+      const core::mirror::RelayPlan plan = core::mirror::PlanRelays(
+          {each->name(), DomainOf(each->name())}, members_);
+      if (plan.relays) relays.push_back(each.get());
+    }
+    return relays;
+  }
+  /// Living instances whose copy differs from the store.
+  size_t Behind() const {
+    return static_cast<size_t>(
+        std::count_if(all.begin(), all.end(), [this](const auto& each) {
+          return !each->killed() && each->entries() != store.keys();
+        }));
+  }
+  /// Time until all copies are the store's, or `bound`.
+  milliseconds TimeUntilLevel(milliseconds bound) {
+    const TimePoint start = clock.now();
+    while (Behind() > 0 && clock.now() - start < bound) {
+      RunFor(milliseconds(10));
+    }
+    return std::chrono::duration_cast<milliseconds>(clock.now() - start);
+  }
+  uint64_t Bytes() const {
+    uint64_t bytes = 0;
+    for (const auto& each : all) bytes += each->bytes;
+    return bytes;
+  }
+
+  VirtualClock clock;
+  FakeStoreKeys store;
+  std::vector<std::unique_ptr<MirrorInstance>> all;
+  /// Pairs (from, to) between which nothing passes.
+  std::set<std::pair<std::string, std::string>> cut;
+  /// What went wrong, by the instances' own account.
+  std::vector<std::string> faults;
+
+ private:
+  std::mt19937_64 random_;
+  std::vector<core::mirror::Member> members_;
+  size_t added_ = 0;
+};
+
+inline MirrorInstance::MirrorInstance(MirrorFleet* fleet, std::string name,
+                                      uint64_t seed)
+    : fleet_(fleet),
+      name_(std::move(name)),
+      mirror_(core::mirror::MirrorTiming(), /*first_start=*/false, seed, this,
+              nullptr,
+              [](const EntryMap&, const EntryMap&) {
+                return core::mirror::WatchPace::kUsual;
+              }),
+      relay_(&mirror_.log(), this) {}
+
+inline TimePoint MirrorInstance::Now() const { return fleet_->clock.now(); }
+
+inline void MirrorInstance::Deliver(const std::function<void()>& work) {
+  if (killed_) return;
+  if (Now() >= frozen_until_) {
+    work();
+    return;
+  }
+  fleet_->clock.At(frozen_until_, [this, work] { Deliver(work); });
+}
+
+inline void MirrorInstance::Start() {
+  mirror_.Start(Now());
+  Tick();
+}
+
+inline void MirrorInstance::Tick() {
+  fleet_->clock.After(milliseconds(10), [this] {
+    Deliver([this] {
+      mirror_.Tick(Now());
+      relay_.Tick(Now());
+      Tick();
+    });
+  });
+}
+
+inline void MirrorInstance::SetMembers(
+    const std::vector<core::mirror::Member>& members) {
+  mirror_.SetPlan(
+      core::mirror::PlanRelays({name_, fleet_->DomainOf(name_)}, members));
+}
+
+inline void MirrorInstance::Answered(const ReadResult& result) {
+  mirror_.Answered(Now(), result);
+  if (mirror_.as_of() < newest_seen_) {
+    fleet_->faults.push_back(name_ + " went back");
+  }
+  newest_seen_ = mirror_.as_of();
+  relay_.SetCurrent(mirror_.follows_store());
+  relay_.Changed();
+}
+
+inline void MirrorInstance::ListStore(const std::string& after,
+                                      TimePoint deadline) {
+  fleet_->store.List(name_, after, deadline, [this](const ReadResult& result) {
+    Deliver([this, result] { Answered(result); });
+  });
+}
+
+inline void MirrorInstance::WatchStore(uint64_t after, milliseconds wait,
+                                       TimePoint deadline) {
+  fleet_->store.Watch(name_, after, wait, deadline,
+                      [this](const ReadResult& result) {
+                        Deliver([this, result] { Answered(result); });
+                      });
+}
+
+inline void MirrorInstance::AskRelay(const std::string& instance,
+                                     uint64_t after, milliseconds wait,
+                                     TimePoint deadline) {
+  constexpr milliseconds kLink{1};
+  const auto answered = std::make_shared<bool>(false);
+  const auto finish = [this, answered](const ReadResult& result) {
+    if (std::exchange(*answered, true)) return;
+    Answered(result);
+  };
+  fleet_->clock.At(deadline, [this, finish] {
+    Deliver([finish] { finish(ReadError::kUnreachable); });
+  });
+  const auto passes = [this, instance] {
+    return fleet_->cut.count({name_, instance}) == 0 &&
+           fleet_->cut.count({instance, name_}) == 0;
+  };
+  const std::string question = wire::WriteRelayQuestion({after, wait});
+  const auto take = [this, finish, passes](const std::string& body) {
+    if (!passes()) return;
+    bytes += body.size();
+    fleet_->clock.After(kLink, [this, finish, body] {
+      Deliver([this, finish, body] {
+        finish(wire::ReadRelayAnswer(
+            body, [this](const std::string& key) -> const Entry* {
+              const auto found = entries().find(key);
+              return found == entries().end() ? nullptr : &found->second;
+            }));
+      });
+    });
+  };
+  fleet_->clock.After(kLink, [this, instance, question, take, passes, finish] {
+    MirrorInstance* relay = fleet_->Find(instance);
+    if (!passes()) return;
+    if (relay == nullptr) {
+      Deliver([finish] { finish(ReadError::kUnreachable); });
+      return;
+    }
+    relay->Deliver([relay, question, take] { relay->Asked(question, take); });
+  });
+}
+
+inline void MirrorInstance::Asked(
+    const std::string& question,
+    const std::function<void(const std::string&)>& done) {
+  const auto read = wire::ReadRelayQuestion(question);
+  const core::mirror::RelayCall call = ++last_call_;
+  calls_[call] = done;
+  relay_.Asked(Now(), call, read->after, Now() + read->wait);
+}
+
+inline void MirrorInstance::AnswerRelayed(
+    core::mirror::RelayCall call, const core::mirror::RelayAnswer& answer) {
+  const auto found = calls_.find(call);
+  if (found == calls_.end()) return;
+  const auto done = found->second;
+  calls_.erase(found);
+  done(wire::WriteRelayAnswer(answer));
+}
+
+}  // namespace ryefold::testsuite
