Gateways tell operators what they know; shares by usual demand under trial

Cause: an operator had only metrics to see who leads, who orders promotions and which configuration is in force on the users' platform.

Change: `GET /status` beside the metrics, `ryefoldctl gateways` over it. Within a class, workspaces share a short group by what they ask for as a rule instead of equally: where both replicas were far behind, the workspace of few callers was served whole and 40% of the large one's callers were refused. The routes of a group are collected once for each configuration, not by a walk over all routes for each group.

Figures: parts served at one and a half times the capacity, large and small workspace, equal shares: less than 0.62 and more than 0.99; by usual demand: within 0.08 of each other (admission_overload UsualDemand, virtual time). What it gives on the users' test platform is not measured yet.

Tests: admission_overload (UsualDemand...), process_sessions (gateways).

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -42,6 +42,7 @@
   ready=$(fleet_free_port)
   peers=$(fleet_free_port)
   printf '%s\n' "$sessions" >"$fleet/gateway-$1.port"
+  printf '%s\n' "$ready" >"$fleet/gateway-$1.ready"
   cat >"$fleet/gateway-$1.json" <<SETTINGS
 // a gateway of the local fleet
 {
--- a/src/include/ryefold/core/session/proxy.h
+++ b/src/include/ryefold/core/session/proxy.h
@@ -60,6 +60,10 @@
   /// Term of the newest proof that it is.
   uint64_t term = 0;
   size_t waiting = 0;
+  /// Whether this instance holds connections to the databases.
+  bool kept = true;
+  /// Writes are turned away since no replica receives commits.
+  bool writes_held = false;
   std::vector<DatabaseView> databases;
 };
 
--- a/src/libcore/session/proxy.cc
+++ b/src/libcore/session/proxy.cc
@@ -117,6 +117,8 @@
     view.primary = group->primary;
     view.term = group->term;
     view.waiting = group->primary_queue.size() + group->read_queue.size();
+    view.kept = group->kept;
+    view.writes_held = group->held_at != LogPosition();
     for (const std::string& id : group->databases) {
       view.databases.push_back(View(now, *group, databases_.at(id)));
     }
--- a/src/libcore/session/proxy_callers.cc
+++ b/src/libcore/session/proxy_callers.cc
@@ -328,6 +328,11 @@
   Finish(now, request, std::move(reply));
 }
 
+void Proxy::Impl::OpenTransaction(Caller* caller, const Request& begin) {
+  caller->state = TransactionState::kOpen;
+  caller->transaction.route = begin.route;
+}
+
 /// The transaction cannot go on. The connection is given back at once; the
 /// caller learns of it with its next statement, or with the one under way.
 void Proxy::Impl::FailTransaction(TimePoint now, Caller* caller) {
--- a/src/libcore/session/proxy_forwarding.cc
+++ b/src/libcore/session/proxy_forwarding.cc
@@ -217,9 +217,8 @@
   request->last_error = reply.error;
   if (DetourRefused(now, request, keeper, reply)) return;
   if (begins && reply.ok()) {
-    caller->state = TransactionState::kOpen;
+    OpenTransaction(caller, *request);
     caller->transaction.keeper = keeper;
-    caller->transaction.route = request->route;
   } else if (request->need == Need::kTransaction &&
              reply.state != TransactionState::kOpen) {
     const bool wrote = caller->transaction.wrote;
--- a/src/libcore/session/proxy_impl.h
+++ b/src/libcore/session/proxy_impl.h
@@ -93,6 +93,7 @@
   PreparedRef Intern(bool writes, const std::string& shape);
   void InTransaction(TimePoint now, Caller* caller, Request request);
   void OutsideTransaction(TimePoint now, Caller* caller, Request request);
+  void OpenTransaction(Caller* caller, const Request& begin);
   void FailTransaction(TimePoint now, Caller* caller);
   void EndTransaction(TimePoint now, Caller* caller, bool roll_back);
   Request* Keep(Request request);
@@ -197,7 +198,7 @@
   Connection* FindConnection(ConnectionId id);
   DatabaseState* FindDatabase(const std::string& id);
   Group* EnsureGroup(const std::string& name);
-  std::vector<WorkspacePolicy> PoliciesOf(const std::string& group) const;
+  void SetPolicies(TimePoint now, Group* group);
   void ProbeLead(TimePoint now, Group* group);
   void SendOwn(TimePoint now, Connection* connection,
                const std::vector<BackendCall>& calls,
--- a/src/libcore/session/proxy_placing.cc
+++ b/src/libcore/session/proxy_placing.cc
@@ -83,6 +83,7 @@
     return;
   }
   group->used_at = now;
+  if (request->attempts == 0) group->demand.Arrived(now, request->route->name);
   if (request->writes && WritesHeld(*request)) {
     RefuseHeld(now, request, ErrorCode::kBusy);
     return;
@@ -153,6 +154,7 @@
 
 void Proxy::Impl::Pump(TimePoint now, Group* group) {
   if (group->primary_queue.size() + group->read_queue.size() == 0) return;
+  if (now >= group->weigh_at) SetPolicies(now, group);
   UpdateRates(now, group);
   PumpQueue(now, &group->primary_queue);
   PumpQueue(now, &group->read_queue);
--- a/src/libcore/session/proxy_pool.cc
+++ b/src/libcore/session/proxy_pool.cc
@@ -43,6 +43,8 @@
 /// A leaving primary takes work until its successor leads, but no longer than
 /// this; it may end seven seconds after it said that it leaves.
 constexpr milliseconds kDrainingPrimary{5000};
+/// Pace of working out shares anew while statements wait.
+constexpr milliseconds kWeighPace{1000};
 /// Silence after which a database is avoided: several times what it usually
 /// takes, and at least this.
 constexpr milliseconds kLeastSuspicion{250};
@@ -54,23 +56,23 @@
   std::unique_ptr<Group>& group = groups_[name];
   if (group == nullptr) {
     group = std::make_unique<Group>(name, settings_.seed + groups_.size());
-    group->primary_queue.SetPolicies(PoliciesOf(name), kQueueLimit);
-    group->read_queue.SetPolicies(PoliciesOf(name), kQueueLimit);
   }
   return group.get();
 }
 
-std::vector<WorkspacePolicy> Proxy::Impl::PoliciesOf(
-    const std::string& group) const {
+/// Shares of the group's workspaces, by what each asks for as a rule.
+void Proxy::Impl::SetPolicies(TimePoint now, Group* group) {
   std::vector<WorkspacePolicy> policies;
-  for (const auto& [name, route] : table_.routes) {
-    if (route.group != group) continue;
+  for (const std::shared_ptr<const Route>& route : group->routes) {
     WorkspacePolicy policy;
-    policy.workspace = name;
-    policy.priority = route.priority;
+    policy.workspace = route->name;
+    policy.priority = route->priority;
+    policy.weight = group->demand.weight(now, route->name);
     policies.push_back(std::move(policy));
   }
-  return policies;
+  group->primary_queue.SetPolicies(policies, kQueueLimit);
+  group->read_queue.SetPolicies(policies, kQueueLimit);
+  group->weigh_at = now + kWeighPace;
 }
 
 void Proxy::Impl::OnRoutes(TimePoint now, const RouteTable& routes) {
@@ -82,16 +84,15 @@
   table_ = routes;
   have_routes_ = true;
   routes_.clear();
-  for (const auto& [name, route] : table_.routes) {
-    routes_[name] = std::make_shared<const Route>(route);
-  }
   for (const auto& [name, limits] : table_.groups) {
     EnsureGroup(name)->limits = limits;
   }
-  for (auto& [name, group] : groups_) {
-    group->primary_queue.SetPolicies(PoliciesOf(name), kQueueLimit);
-    group->read_queue.SetPolicies(PoliciesOf(name), kQueueLimit);
+  for (auto& [name, group] : groups_) group->routes.clear();
+  for (const auto& [name, route] : table_.routes) {
+    routes_[name] = std::make_shared<const Route>(route);
+    EnsureGroup(route.group)->routes.push_back(routes_[name]);
   }
+  for (auto& [name, group] : groups_) SetPolicies(now, group.get());
   if (!instances_.empty()) ChooseAllKeepers();
   PumpAll(now);
 }
--- a/src/libcore/session/proxy_replies.cc
+++ b/src/libcore/session/proxy_replies.cc
@@ -125,8 +125,7 @@
     return;
   }
   Caller* caller = FindCaller(request->caller);
-  caller->state = TransactionState::kOpen;
-  caller->transaction.route = request->route;
+  OpenTransaction(caller, *request);
   caller->transaction.connection = connection->id;
   connection->pinned = caller->id;
   const bool plain = request->need != Need::kCoveredRead;
--- a/src/libcore/session/state.h
+++ b/src/libcore/session/state.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "ryefold/core/admission/queue.h"
+#include "ryefold/core/admission/usual_demand.h"
 #include "ryefold/core/session/forwarding.h"
 #include "ryefold/core/session/placement.h"
 #include "ryefold/core/session/port.h"
@@ -221,6 +222,12 @@
   Watermarks watermarks;
   admission::Queue primary_queue;
   admission::Queue read_queue;
+  /// What workspaces ask for as a rule, and when their shares are worked out
+  /// from it anew.
+  admission::UsualDemand demand;
+  TimePoint weigh_at;
+  /// Routes that lead here.
+  std::vector<std::shared_ptr<const Route>> routes;
   /// Last time a statement came in; idle groups are not probed.
   TimePoint used_at;
   TimePoint probe_not_before;
--- a/src/ryefoldctl/commands.h
+++ b/src/ryefoldctl/commands.h
@@ -41,6 +41,9 @@
 int Wait(const Invocation& invocation, Client* client);
 int Status(const Invocation& invocation, Client* client);
 int Drain(const Invocation& invocation, Client* client);
+/// What gateways on the users' platform know, by their ready or metrics
+/// addresses.
+int Gateways(const Invocation& invocation, Client* client);
 /// Reads collected logs; needs no server.
 int Explain(const Invocation& invocation, Client* client);
 
--- a/src/ryefoldctl/main.cc
+++ b/src/ryefoldctl/main.cc
@@ -50,6 +50,12 @@
       {"status",
        {Status, "", "Shows instances, keepers, primaries, terms and lag.",
         true}},
+      {"gateways",
+       {Gateways, "",
+        "Shows what gateways (ryefoldd --sessions) know: configuration in "
+        "force, where they hear of changes, who orders promotions, primaries, "
+        "terms, writes held. --server names their ready or metrics addresses.",
+        true}},
       {"explain",
        {Explain, "ID LOG...",
         "Shows what collected logs say about a request, and what was believed "
--- a/src/ryefoldd/gateway_failover.h
+++ b/src/ryefoldd/gateway_failover.h
@@ -48,6 +48,8 @@
       const std::vector<core::session::KeeperCandidate>& instances);
   /// Gives the duty up, on the way out.
   void Retire();
+  /// Who orders promotions, as the store shows it; empty: nobody.
+  const std::string& duty_holder() const { return duty_.holder(); }
 
   void Probe(const std::string& group) override;
   void Announce(const std::string& group, const std::string& database) override;
--- /dev/null
+++ b/src/ryefoldd/gateway_status.cc
@@ -0,0 +1,81 @@
+#include "ryefoldd/gateway_status.h"
+
+#include <json/json.h>
+
+#include <chrono>
+
+namespace ryefold::ryefoldd {
+namespace {
+
+using core::session::DatabaseView;
+using core::session::GroupView;
+using std::chrono::milliseconds;
+
+std::string PositionText(const core::LogPosition& position) {
+  return std::to_string(position.term) + "." + std::to_string(position.index);
+}
+
+/// Milliseconds since `then`; null when it never was.
+Json::Value Age(core::TimePoint now, core::TimePoint then) {
+  if (then == core::TimePoint()) return Json::nullValue;
+  return static_cast<Json::Int64>(
+      std::chrono::duration_cast<milliseconds>(now - then).count());
+}
+
+Json::Value ToValue(core::TimePoint now, const DatabaseView& database) {
+  Json::Value value;
+  value["database"] = database.id;
+  value["failure_domain"] = database.failure_domain;
+  value["primary"] = database.primary;
+  value["draining"] = database.draining;
+  value["responsive"] = database.responsive;
+  value["heard_ms_ago"] = Age(now, database.last_heard);
+  value["received"] = PositionText(database.status.received);
+  value["status_ms_ago"] = Age(now, database.status_asked);
+  value["connections"] = database.connections;
+  value["in_flight"] = database.in_flight;
+  return value;
+}
+
+Json::Value ToValue(core::TimePoint now, const GroupView& group) {
+  Json::Value value;
+  value["group"] = group.group;
+  value["primary"] = group.primary;
+  value["term"] = static_cast<Json::UInt64>(group.term);
+  value["waiting"] = static_cast<Json::UInt64>(group.waiting);
+  value["kept"] = group.kept;
+  value["writes_held"] = group.writes_held;
+  value["databases"] = Json::arrayValue;
+  for (const DatabaseView& database : group.databases) {
+    value["databases"].append(ToValue(now, database));
+  }
+  return value;
+}
+
+}  // namespace
+
+std::string ToJson(core::TimePoint now, const GatewayStatus& status) {
+  Json::Value value;
+  value["instance"] = status.instance;
+  value["ready"] = status.ready;
+  value["draining"] = status.draining;
+  value["config_version"] = static_cast<Json::UInt64>(status.config_version);
+  value["callers"] = static_cast<Json::UInt64>(status.callers);
+  value["relay"] = status.relay;
+  value["as_of"] = static_cast<Json::UInt64>(status.as_of);
+  value["listeners"] = static_cast<Json::UInt64>(status.listeners);
+  value["duty_holder"] = status.duty_holder;
+  value["instances"] = Json::arrayValue;
+  for (const std::string& name : status.instances) {
+    value["instances"].append(name);
+  }
+  value["groups"] = Json::arrayValue;
+  for (const GroupView& group : status.groups) {
+    value["groups"].append(ToValue(now, group));
+  }
+  Json::StreamWriterBuilder builder;
+  builder["indentation"] = "";
+  return Json::writeString(builder, value);
+}
+
+}  // namespace ryefold::ryefoldd
--- a/src/ryefoldd/gateway_task.cc
+++ b/src/ryefoldd/gateway_task.cc
@@ -23,6 +23,7 @@
 #include "ryefoldd/forwarding_host.h"
 #include "ryefoldd/gateway_failover.h"
 #include "ryefoldd/gateway_metrics.h"
+#include "ryefoldd/gateway_status.h"
 #include "ryefoldd/http_reply.h"
 #include "ryefoldd/mirror_host.h"
 #include "ryefoldd/peer_exchange.h"
@@ -185,7 +186,9 @@
     std::map<std::string, std::string> addresses;
     std::vector<core::session::KeeperCandidate> candidates;
     std::vector<core::mirror::Member> members;
+    instances_.clear();
     for (const platform::Instance& instance : instances) {
+      instances_.push_back(instance.name);
       addresses[instance.name] = instance.address;
       candidates.push_back({instance.name, instance.failure_domain});
       members.push_back({instance.name, instance.failure_domain});
@@ -287,12 +290,30 @@
                       events_->left_out(), store_->calls());
       reply.body = metrics_.Text();
       reply.content_type = "text/plain; version=0.0.4";
+    } else if (exchange.path() == "/status") {
+      reply.body = ToJson(BootTime(), Status());
     } else {
       reply.status = kNotFound;
     }
     exchange.Reply(reply);
   }
 
+  GatewayStatus Status() const {
+    GatewayStatus status;
+    status.instance = settings_.name;
+    status.ready = IsReady();
+    status.draining = draining_;
+    status.config_version = proxy_->route_version();
+    status.callers = proxy_->callers();
+    status.relay = mirror_->relay();
+    status.as_of = mirror_->as_of();
+    status.listeners = mirror_->listeners();
+    status.duty_holder = failover_->duty_holder();
+    status.instances = instances_;
+    status.groups = proxy_->groups(BootTime());
+    return status;
+  }
+
   /// Settings changed. Addresses and names are fixed for the life of the
   /// process, so a reload only tells whether the file can be read.
   void Reload() {
@@ -358,6 +379,7 @@
   event* timer_ = nullptr;
   core::TimePoint armed_at_ = core::TimePoint::max();
   bool draining_ = false;
+  std::vector<std::string> instances_;
   /// Addresses that could not be listened on yet.
   int not_listening_ = 0;
 };
--- a/src/ryefoldd/mirror_host.h
+++ b/src/ryefoldd/mirror_host.h
@@ -38,8 +38,8 @@
   uint64_t as_of() const { return mirror_.as_of(); }
   /// Instances that wait for news from here.
   size_t listeners() const { return relay_.waiting(); }
-  /// Whether the store itself is the source.
-  bool follows_store() const { return mirror_.follows_store(); }
+  /// Instance that changes are heard from; empty: the store itself.
+  const std::string& relay() const { return mirror_.relay(); }
 
   void ListStore(const std::string& after, core::TimePoint deadline) override;
   void WatchStore(uint64_t after, std::chrono::milliseconds wait,
--- /dev/null
+++ b/testsuite/admission_overload/usual_demand_test.cc
@@ -0,0 +1,100 @@
+// A group that has lost a third of its capacity, as when both replicas are too
+// far behind for any read, and two workspaces of one priority: many callers use
+// one, few the other.
+
+#include "ryefold/core/admission/usual_demand.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "testsuite/support/admission/overload.h"
+
+namespace ryefold::core::admission {
+namespace {
+
+using std::chrono::milliseconds;
+using testing_support::LoadOf;
+using testing_support::Overload;
+using testing_support::Scenario;
+using testing_support::Tally;
+
+constexpr double kManyPerSecond = 100;
+constexpr double kFewPerSecond = 20;
+
+TimePoint At(milliseconds span) {
+  return TimePoint(std::chrono::hours(1)) + span;
+}
+
+/// Statements at these rates from `from` to `until`.
+void Send(UsualDemand* demand, milliseconds from, milliseconds until,
+          double many, double few) {
+  for (milliseconds at = from; at < until; at += milliseconds(1)) {
+    const auto due = [at](double rate) {
+      const auto pace = static_cast<int64_t>(1000 / rate);
+      return at.count() % pace == 0;
+    };
+    if (due(many)) demand->Arrived(At(at), "many");
+    if (due(few)) demand->Arrived(At(at), "few");
+  }
+}
+
+double ServedPart(const Tally& tally) {
+  return static_cast<double>(tally.served) /
+         static_cast<double>(tally.served + tally.refused);
+}
+
+/// Parts of both workspaces' requests that are served at one and a half times
+/// the capacity, under these weights.
+std::pair<double, double> Served(uint32_t many, uint32_t few) {
+  Scenario scenario;
+  scenario.loads.push_back(LoadOf(scenario, "many", 1, many, 1.25));
+  scenario.loads.push_back(LoadOf(scenario, "few", 1, few, 0.25));
+  Overload crowded(scenario);
+  crowded.Run();
+  return {ServedPart(crowded.tally("many")), ServedPart(crowded.tally("few"))};
+}
+
+// With equal shares the callers of the small workspace notice nothing, and of
+// the large one's 40% are refused. Everybody's chance should be the same.
+TEST(UsualDemandTest, CallersOfAllWorkspacesAreRefusedAlike) {
+  const auto [many_before, few_before] = Served(1, 1);
+  EXPECT_LT(many_before, 0.62);
+  EXPECT_GT(few_before, 0.99);
+
+  UsualDemand demand;
+  Send(&demand, milliseconds(0), milliseconds(60000), kManyPerSecond,
+       kFewPerSecond);
+  const TimePoint now = At(milliseconds(60000));
+  const auto [many, few] =
+      Served(demand.weight(now, "many"), demand.weight(now, "few"));
+  EXPECT_NEAR(many, few, 0.08);
+  EXPECT_GT(many, 0.62);
+}
+
+// One workspace sends ten times what it always sends, for three seconds. The
+// other must be served as before, or one caller's mistake would be everybody's
+// outage.
+TEST(UsualDemandTest, AFloodWinsNoLargerShare) {
+  UsualDemand demand;
+  Send(&demand, milliseconds(0), milliseconds(60000), kManyPerSecond,
+       kFewPerSecond);
+  const uint32_t before = demand.weight(At(milliseconds(60000)), "many");
+  Send(&demand, milliseconds(60000), milliseconds(63000), kManyPerSecond,
+       10 * kFewPerSecond);
+  const uint32_t after = demand.weight(At(milliseconds(63000)), "many");
+  EXPECT_GT(after * 10, before * 8);
+}
+
+// A workspace that has just come has no past. Its first callers must not all
+// be refused while the group is short.
+TEST(UsualDemandTest, ANewWorkspaceHasAShare) {
+  UsualDemand demand;
+  Send(&demand, milliseconds(0), milliseconds(60000), kManyPerSecond,
+       kFewPerSecond);
+  const TimePoint now = At(milliseconds(60000));
+  EXPECT_GE(demand.weight(now, "new") * 20, demand.weight(now, "many"));
+}
+
+}  // namespace
+}  // namespace ryefold::core::admission
--- a/testsuite/process_sessions/run.sh
+++ b/testsuite/process_sessions/run.sh
@@ -45,6 +45,18 @@
 [[ "$(ask r1 'READ card-17')" == COMPLETE* ]] || fail "a read was not done"
 explained w1 'event=answered request=w1 .*outcome=none database=db-a' "an ordinary write"
 
+# What operators see: the primary, who orders promotions, what is in force.
+status="$("$BUILD/ryefoldctl" gateways --json --server "127.0.0.1:$(cat "$fleet/gateway-1.ready")" \
+  --server "127.0.0.1:$(cat "$fleet/gateway-2.ready")")"
+[ "$(jq -r '.[0].groups[0].primary' <<<"$status")" = db-a ] || fail "no primary in: $status"
+[ "$(jq -r 'map(.config_version) | unique | length' <<<"$status")" = 1 ] || fail "versions differ: $status"
+[ "$(jq -r '.[1].groups[0].writes_held' <<<"$status")" = false ] || fail "writes are held: $status"
+"$BUILD/ryefoldctl" gateways --server "127.0.0.1:$(cat "$fleet/gateway-1.ready")" |
+  grep -q '^gateway-1 .*ready' || fail "no table of gateways"
+if "$BUILD/ryefoldctl" gateways --server 127.0.0.1:1 >/dev/null 2>&1; then
+  fail "a gateway that is not there was shown"
+fi
+
 # A commit is on its way when the connection to the database breaks. Nobody can
 # say whether it happened, and the caller must not be told otherwise.
 [[ "$(ask b1 BEGIN)" == COMPLETE* ]] || fail "no transaction"
--- a/testsuite/session_proxy/proxy_test.cc
+++ b/testsuite/session_proxy/proxy_test.cc
@@ -122,9 +122,10 @@
   EXPECT_EQ(Ask(0, 2, StatementKind::kCommit, "COMMIT"), ErrorCode::kNone);
 }
 
-// Replicas receive nothing for seconds while reads keep them busy. Each question
-// takes a slot that a read could have; asked again as soon as an answer has
-// come, they would be asked hundreds of times a second by every instance.
+// Replicas receive nothing for seconds while reads keep them busy. Each
+// question takes a slot that a read could have; asked again as soon as an
+// answer has come, they would be asked hundreds of times a second by every
+// instance.
 TEST_F(ProxyTest, AsksReplicasThatReceiveNothingAtASlowPace) {
   Make(1);
   Start(0, 1, "primary");
