--- a/src/include/ryefold/core/mirror/mirror.h
+++ b/src/include/ryefold/core/mirror/mirror.h
@@ -30,6 +30,13 @@
   /// large fleet is a megabyte, and the slowest links carry two megabits a
   /// second. A path that is silent is found by the kernel's probes long before.
   std::chrono::milliseconds grace{6000};
+  /// The same for the first tries of a listing, doubled up to `grace`: a store
+  /// that takes calls and does not answer them would cost six seconds each.
+  std::chrono::milliseconds first_grace{2000};
+  /// Wait and time for an answer of the first watch at a store that has failed:
+  /// until it is answered nothing is heard of, by relays neither.
+  std::chrono::milliseconds trial_wait{100};
+  std::chrono::milliseconds trial_grace{900};
   /// The same for a relay's watch. Together with `relay_wait` well below the
   /// shortest time in which a large fleet has to act on a change, 5 s.
   std::chrono::milliseconds relay_grace{1000};
@@ -135,6 +142,7 @@
   void StoreServed(TimePoint now);
   void RelayFailed(TimePoint now, ReadError error);
   void Follow(const std::string& relay);
+  void SourceServed();
   std::chrono::milliseconds RetryPause();
 
   const MirrorTiming timing_;
@@ -152,9 +160,15 @@
   bool list_due_ = true;
   Call call_ = Call::kNone;
   std::string relay_;
+  /// The source that was last told of.
+  std::string told_relay_;
   /// A relay could not tell the differences: it is asked for everything.
   bool ask_all_ = false;
   bool store_good_ = false;
+  /// Tries of the present listing that have failed.
+  uint32_t listings_failed_ = 0;
+  /// Relays that have failed since they last answered, until when they are
+  /// passed over.
   std::map<std::string, TimePoint> relay_not_before_;
   TimePoint store_not_before_;
   /// The store is followed until then though the plan says otherwise.
--- a/src/libcore/mirror/mirror.cc
+++ b/src/libcore/mirror/mirror.cc
@@ -48,7 +48,7 @@
     return;
   }
   if (!plan_.follows_store) store_until_ = now + timing_.relays_again;
-  if (list_due_ || now >= reread_at_) {
+  if (list_due_ || (store_good_ && now >= reread_at_)) {
     List(now);
   } else {
     WatchStore(now);
@@ -56,19 +56,29 @@
 }
 
 void Mirror::Follow(const std::string& relay) {
-  if (relay == relay_) return;
-  Event(events_, EventWeight::kState, "source_changed")
-      .Add("to", relay.empty() ? "store" : relay)
-      .Add("from", relay_.empty() ? "store" : relay_)
-      .Add("as_of", as_of());
   relay_ = relay;
   if (!relay.empty()) store_good_ = false;
 }
 
+/// The present source has answered. Told once for each that does: while none
+/// does they are all tried, over and over.
+void Mirror::SourceServed() {
+  relay_not_before_.erase(relay_);
+  if (relay_ == told_relay_) return;
+  Event(events_, EventWeight::kState, "source_changed")
+      .Add("to", relay_.empty() ? "store" : relay_)
+      .Add("from", told_relay_.empty() ? "store" : told_relay_)
+      .Add("as_of", as_of());
+  told_relay_ = relay_;
+}
+
 void Mirror::List(TimePoint now) {
   call_ = Call::kList;
+  constexpr uint32_t kMostDoublings = 3;
   const std::string after = listing_.empty() ? "" : listing_.rbegin()->first;
-  port_->ListStore(after, now + timing_.grace);
+  const milliseconds grace =
+      timing_.first_grace * (1 << std::min(listings_failed_, kMostDoublings));
+  port_->ListStore(after, now + std::min(grace, timing_.grace));
 }
 
 void Mirror::WatchStore(TimePoint now) {
@@ -80,8 +90,12 @@
   const milliseconds usual = plan_.relays ? timing_.relay_pace : timing_.pace;
   next_watch_at_ = now + (first ? timing_.first_pace : usual);
   const bool brief = plan_.relays || !plan_.follows_store;
-  const milliseconds wait = brief ? timing_.relay_wait : timing_.wait;
-  const milliseconds grace = brief ? timing_.relay_grace : timing_.grace;
+  milliseconds wait = brief ? timing_.relay_wait : timing_.wait;
+  milliseconds grace = brief ? timing_.relay_grace : timing_.grace;
+  if (!store_good_) {
+    wait = timing_.trial_wait;
+    grace = timing_.trial_grace;
+  }
   call_ = Call::kWatch;
   port_->WatchStore(as_of(), wait, now + wait + grace);
 }
@@ -104,6 +118,9 @@
       RelayFailed(now, ReadError::kNotCurrent);
     } else {
       ask_all_ = false;
+      SourceServed();
+      // The copy is as good as a listing: the store can be watched from here.
+      list_due_ = false;
       Take(now, result.value());
       Compare(result.value());
     }
@@ -111,6 +128,7 @@
     StoreFailed(now, result.error());
   } else {
     StoreServed(now);
+    SourceServed();
     if (call == Call::kList) {
       PageListed(now, result.value());
     } else {
@@ -127,6 +145,7 @@
   for (const Entry& entry : page.entries) listing_[entry.key] = entry;
   list_due_ = page.more && !page.entries.empty();
   if (list_due_) return;
+  listings_failed_ = 0;
   reread_at_ = now + timing_.reread;
   TakeAll(now, std::exchange(listing_, EntryMap()), listing_as_of_);
 }
@@ -212,6 +231,7 @@
   // Changes may have been made that the watch did not bring; the store itself
   // is well.
   if (error == ReadError::kHistoryGone) return;
+  ++listings_failed_;
   store_good_ = false;
   ++failures_;
   const bool relayed = listed_ && !ChooseRelay(now).empty();
@@ -242,10 +262,12 @@
   }
   ask_all_ = false;
   const bool lost = error != ReadError::kNotCurrent;
-  Event(events_, EventWeight::kState, "relay_failed")
-      .Add("relay", relay_)
-      .Add("error", ReadErrorName(error))
-      .Add("as_of", as_of());
+  if (relay_not_before_.count(relay_) == 0) {
+    Event(events_, EventWeight::kState, "relay_failed")
+        .Add("relay", relay_)
+        .Add("error", ReadErrorName(error))
+        .Add("as_of", as_of());
+  }
   relay_not_before_[relay_] =
       now + (lost ? timing_.after_lost : timing_.after_not_current);
   // With no relay left everybody turns to the store, which may be down; they
--- a/testsuite/mirror_fleet/fleet_test.cc
+++ b/testsuite/mirror_fleet/fleet_test.cc
@@ -131,6 +131,35 @@
   EXPECT_TRUE(fleet.Find("instance-3")->mirror().follows_store());
 }
 
+// The store takes one instance's calls and never answers them. Each try at the
+// store is time in which the instance hears of nothing; changes have to be in
+// force within three seconds in a small fleet.
+TEST(MirrorFleet, HearsOfChangesWhileTheStoreKeepsItWaiting) {
+  MirrorFleet fleet(8, 1);
+  fleet.Start();
+  fleet.store.silent_to.insert("instance-3");
+  fleet.store.Put("config", "first");
+  fleet.RunFor(milliseconds(30000));
+  for (int i = 0; i < 40; ++i) {
+    fleet.store.Put("config", std::to_string(i));
+    EXPECT_LT(fleet.TimeUntilLevel(kInForce).count(), 2200) << i;
+    fleet.RunFor(milliseconds(370));
+  }
+}
+
+// The same while the instance has just begun: nobody is heard of yet, and the
+// first listing is not answered. The store answers again after a moment.
+TEST(MirrorFleet, TriesAgainSoonWhenItsFirstListingIsNotAnswered) {
+  MirrorFleet fleet(1, 1);
+  fleet.store.Put("config", "one");
+  fleet.store.silent_to.insert("instance-0");
+  fleet.TellMembers();
+  fleet.all.front()->Start();
+  fleet.RunFor(milliseconds(300));
+  fleet.store.silent_to.clear();
+  EXPECT_LT(fleet.TimeUntilLevel(kInForce).count(), 2000);
+}
+
 // The store is away for all. Instances that hear from relays must not all turn
 // to it at once, again and again: it would have to answer them first of all
 // when it comes back.
