--- a/testsuite/soak/main.cc
+++ b/testsuite/soak/main.cc
@@ -163,6 +163,10 @@
     Stop();
     Run(kRest);
     CheckAtEnd();
+    for (const testsuite::LogPosition& lost : LostCommits()) {
+      ADD_FAILURE() << "acknowledged and gone: " << lost.term << "."
+                    << lost.index;
+    }
     for (const auto& instance : instances_) {
       EXPECT_FALSE(instance->crashed()) << instance->plan().name;
     }
@@ -264,7 +268,9 @@
               [this, instance] { instances_[instance]->Signal(SIGCONT); });
         break;
       case 7:
+        // Every other time it receives nothing at all.
         databases_.cluster().database(database).lag = span;
+        databases_.cluster().database(database).deaf = span.count() % 2 == 0;
         break;
       case 8:
         databases_.cluster().database(database).slow = milliseconds(80);
@@ -286,6 +292,7 @@
     for (const char* id : {"db-a", "db-b", "db-c"}) {
       testsuite::FakeDatabase& database = databases_.cluster().database(id);
       database.lag = milliseconds(20);
+      database.deaf = false;
       database.slow = milliseconds(0);
       database.lose_one_in = 0;
     }
