A load tool for sessions, with faults and a picture; one timer for stand-ins

The project had no way to put load on gateways outside of the users' test platform. load_sessions plays callers of the three kinds over the line protocol, orders faults from the stand-in at given seconds, prints what callers got and draws it second by second. `make load` shows a lost primary.

The soak's and the store stand-in's own timers give way to the one that the stand-ins had already.

Test: process_load.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 TYPE ?= RelWithDebInfo
 
-.PHONY: help setup configure build test demo bench capacity soak format lint clean
+.PHONY: help setup configure build test demo bench load capacity soak format lint clean
 
 help: ## list the targets
 	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/' | expand -t 12
@@ -25,6 +25,9 @@
 bench: build ## run the benchmarks and print their tables
 	@BUILD=$(BUILD) scripts/bench.sh
 
+load: build ## three gateways under load with a lost primary; draws load.svg
+	@BUILD=$(BUILD) scripts/load.sh
+
 capacity: build ## print the table behind docs/CAPACITY.md
 	@BUILD=$(BUILD) scripts/capacity.sh
 
--- a/testsuite/soak/main.cc
+++ b/testsuite/soak/main.cc
@@ -19,13 +19,13 @@
 #include <string>
 #include <vector>
 
-#include "platform/line_channel.h"
-#include "platform/line_codec.h"
 #include "ryefold/wire/http.h"
 #include "testsuite/soak/instance_process.h"
 #include "testsuite/soak/tcp_proxy.h"
 #include "testsuite/standins/lib/key_value.h"
 #include "testsuite/standins/lib/line_databases.h"
+#include "testsuite/standins/lib/timer.h"
+#include "testsuite/support/event/session_link.h"
 #include "testsuite/support/session/checked_callers.h"
 
 namespace ryefold::soak {
@@ -35,8 +35,10 @@
 using core::session::CallerId;
 using core::session::Reply;
 using core::session::Statement;
+using standins::After;
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
+using testsuite::SessionLink;
 
 constexpr CallerId kCallers = 24;
 constexpr size_t kInstances = 4;
@@ -54,19 +56,6 @@
   milliseconds span{10000};
 };
 
-/// Calls work on the loop after a pause.
-void After(event_base* base, milliseconds pause, std::function<void()> work) {
-  const timeval wait{pause.count() / 1000, pause.count() % 1000 * 1000};
-  event_base_once(
-      base, -1, EV_TIMEOUT,
-      [](evutil_socket_t, int16_t, void* argument) {
-        const std::unique_ptr<std::function<void()>> due(
-            static_cast<std::function<void()>*>(argument));
-        (*due)();
-      },
-      new std::function<void()>(std::move(work)), &wait);
-}
-
 std::string Config(uint64_t version) {
   std::string routes;
   for (const char* type : {"primary", "bounded", "session"}) {
@@ -80,46 +69,6 @@
          "\"limits\":{\"tx_idle_ms\":3000}}";
 }
 
-/// One session of a caller on a socket.
-class SessionLink : public platform::LineHandler {
- public:
-  using OnAnswer = std::function<void(const Reply&)>;
-
-  SessionLink(event_base* base, uint16_t port, const std::string& route,
-              OnAnswer answered, std::function<void()> gone)
-      : channel_(base, "127.0.0.1:" + std::to_string(port), this),
-        answered_(std::move(answered)),
-        gone_(std::move(gone)) {
-    channel_.output()->append("START " + route + " soak\r\n");
-  }
-  void OnConnected() override { channel_.Flush(); }
-  void OnTurnEnd() override {}
-  void OnBroken(const std::string& /*why*/) override { gone_(); }
-  void OnLine(std::string_view line) override {
-    if (!started_) {
-      started_ = line.rfind("READY", 0) == 0;
-      if (!started_) gone_();
-      return;
-    }
-    if (decoder_.Feed(line, false) ==
-        platform::ReplyDecoder::Result::kComplete) {
-      answered_(decoder_.TakeReply());
-    }
-  }
-  void Send(const std::string& id, const std::string& text) {
-    channel_.output()->append("QUERY " + id + " " + text + "\r\n");
-    channel_.Flush();
-  }
-  void Close() { channel_.Close(); }
-
- private:
-  platform::LineChannel channel_;
-  OnAnswer answered_;
-  std::function<void()> gone_;
-  bool started_ = false;
-  platform::ReplyDecoder decoder_;
-};
-
 /// The whole: stand-ins, proxies, processes, callers, faults.
 class Soak : public testsuite::CallerModel {
  public:
@@ -317,7 +266,10 @@
     const uint64_t since = life(id);
     const size_t instance = (id + attempts_++) % kInstances;
     sessions_[id] = std::make_shared<SessionLink>(
-        base_, instances_[instance]->plan().session_port, route,
+        base_,
+        "127.0.0.1:" +
+            std::to_string(instances_[instance]->plan().session_port),
+        route,
         [this, id, since](const Reply& reply) {
           if (since != life(id)) return;
           ++answers_[id];
--- a/testsuite/standins/lib/key_value.cc
+++ b/testsuite/standins/lib/key_value.cc
@@ -9,6 +9,7 @@
 #include <memory>
 
 #include "ryefold/wire/document.h"
+#include "testsuite/standins/lib/timer.h"
 
 namespace ryefold::standins {
 namespace {
@@ -207,18 +208,8 @@
     Reply(exchange, 200, body);
     return;
   }
-  const timeval wait{faults_.slow_listing.count() / 1000,
-                     faults_.slow_listing.count() % 1000 * 1000};
-  event_base_once(
-      base_, -1, EV_TIMEOUT,
-      [](evutil_socket_t, int16_t, void* argument) {
-        const std::unique_ptr<std::function<void()>> due(
-            static_cast<std::function<void()>*>(argument));
-        (*due)();
-      },
-      new std::function<void()>(
-          [this, exchange, body] { Reply(exchange, 200, body); }),
-      &wait);
+  After(base_, faults_.slow_listing,
+        [this, exchange, body] { Reply(exchange, 200, body); });
 }
 
 void KeyValueStandin::OnWatch(const wire::HttpExchange& exchange) {
