--- a/testsuite/session_proxy/proxy_test.cc
+++ b/testsuite/session_proxy/proxy_test.cc
@@ -186,6 +186,32 @@
   }
 }
 
+// The same under load, when no connection is idle: a fourth of a database's
+// connections for each of eight instances would be twice as many as it takes,
+// and the last to ask, or to restart, would find none.
+TEST_F(ProxyTest, HoldsFewConnectionsUnderLoad) {
+  Make(8);
+  for (size_t host = 0; host < 8; ++host) {
+    for (CallerId n = 0; n < 12; ++n) {
+      Start(host, 100 * (host + 1) + n, n % 2 == 0 ? "bounded" : "primary");
+    }
+  }
+  for (int step = 0; step < 40; ++step) {
+    for (size_t host = 0; host < 8; ++host) {
+      for (CallerId n = 0; n < 12; ++n) {
+        const CallerId caller = 100 * (host + 1) + n;
+        if (step == 0 || replies_.count(caller) > 0) {
+          Send(host, caller, StatementKind::kRead, "READ k");
+        }
+      }
+    }
+    Run(25);
+    for (const char* id : {"db-a", "db-b", "db-c"}) {
+      EXPECT_LE(cluster_.connections(id), 16U) << id;
+    }
+  }
+}
+
 // A transaction waits for its caller; an instance is told to drain. The caller
 // may finish within its time, and a session at rest is ended at once.
 TEST_F(ProxyTest, DrainsWithoutCuttingATransaction) {
