--- a/src/include/ryefold/core/mirror/mirror.h
+++ b/src/include/ryefold/core/mirror/mirror.h
@@ -134,7 +134,7 @@
   void AskRelay(TimePoint now);
   std::string ChooseRelay(TimePoint now) const;
   void PageListed(TimePoint now, const Reading& page);
-  void TakeAll(TimePoint now, EntryMap listing, uint64_t as_of);
+  void TakeAll(TimePoint now, const EntryMap& listing, uint64_t as_of);
   void Take(TimePoint now, const Reading& reading);
   void Compare(const Reading& reading);
   void Tell(TimePoint now, const EntryMap& changed);
--- a/src/libcore/mirror/mirror.cc
+++ b/src/libcore/mirror/mirror.cc
@@ -147,10 +147,11 @@
   if (list_due_) return;
   listings_failed_ = 0;
   reread_at_ = now + timing_.reread;
-  TakeAll(now, std::exchange(listing_, EntryMap()), listing_as_of_);
+  const EntryMap listing = std::exchange(listing_, EntryMap());
+  TakeAll(now, listing, listing_as_of_);
 }
 
-void Mirror::TakeAll(TimePoint now, EntryMap listing, uint64_t as_of) {
+void Mirror::TakeAll(TimePoint now, const EntryMap& listing, uint64_t as_of) {
   const bool first = !std::exchange(listed_, true);
   if (first) {
     log_.Reset(listing, as_of);
@@ -181,7 +182,7 @@
   if (reading.whole) {
     EntryMap listing;
     for (const Entry& entry : reading.entries) listing[entry.key] = entry;
-    TakeAll(now, std::move(listing), reading.as_of);
+    TakeAll(now, listing, reading.as_of);
     return;
   }
   EntryMap changed;
--- a/testsuite/mirror_fleet/plan_test.cc
+++ b/testsuite/mirror_fleet/plan_test.cc
@@ -15,6 +15,7 @@
 
 std::vector<Member> Members(int count) {
   std::vector<Member> members;
+  members.reserve(static_cast<size_t>(count));
   for (int i = 0; i < count; ++i) {
     members.push_back(
         {"instance-" + std::to_string(i), "domain-" + std::to_string(i % 5)});
--- a/testsuite/support/mirror/fleet.h
+++ b/testsuite/support/mirror/fleet.h
@@ -356,10 +356,12 @@
                       });
 }
 
+/// One way between two instances.
+inline constexpr milliseconds kLink{1};
+
 inline void MirrorInstance::AskRelay(const std::string& instance,
                                      uint64_t after, milliseconds wait,
                                      TimePoint deadline) {
-  constexpr milliseconds kLink{1};
   const auto answered = std::make_shared<bool>(false);
   const auto finish = [this, answered](const ReadResult& result) {
     if (std::exchange(*answered, true)) return;
