Writes are let in when no replica is left; lapsed replicas count

Cause, found by reading: a group that turned writes away for want of a replica was let in only by a status of one. With both replicas gone for good none comes, and the group would have refused writes for ever. And a replica whose entry had lapsed, as all do while the store is away, did not count: with an empty list the primary's word was enough, though a replica could be promoted any moment.

Change: the held state is judged at its pace, not only upon a status; a database counts as a replica until it is forgotten.

Tests: session_proxy LetsWritesInAgainWhenNoReplicaIsLeft and CountsReplicasWhoseEntriesHaveLapsed, both failed before.

--- a/src/libcore/session/proxy_confirming.cc
+++ b/src/libcore/session/proxy_confirming.cc
@@ -41,8 +41,10 @@
   std::vector<std::string> staying;
   std::vector<std::string> leaving;
   for (const std::string& id : group.databases) {
+    // One that is missing from the list counts until it is forgotten: entries
+    // lapse while the store is away.
     const DatabaseState& database = databases_.at(id);
-    if (id == primary || database.unlisted) continue;
+    if (id == primary) continue;
     (database.info.draining ? leaving : staying).push_back(id);
   }
   return staying.empty() ? leaving : staying;
@@ -215,6 +217,9 @@
     }
   }
   if (group->held_at == LogPosition() || now < group->ask_not_before) return;
+  // Replicas that are gone do not answer any more: nothing else would show that
+  // there is none left to wait for.
+  SettleCommits(now, group);
   group->ask_not_before = now + kHeldPace;
   AskReplicas(now, group);
 }
--- a/testsuite/session_proxy/proxy_test.cc
+++ b/testsuite/session_proxy/proxy_test.cc
@@ -122,6 +122,39 @@
   EXPECT_EQ(Ask(0, 2, StatementKind::kCommit, "COMMIT"), ErrorCode::kNone);
 }
 
+// Both replicas are lost for good while writes are turned away on their
+// account. Nobody is left who could be promoted, so the primary's word is all
+// there is and enough; a group must not refuse writes for ever.
+TEST_F(ProxyTest, LetsWritesInAgainWhenNoReplicaIsLeft) {
+  Make(1);
+  Start(0, 1, "primary");
+  EXPECT_EQ(Write(0, 1), ErrorCode::kNone);
+  cluster_.Crash("db-b");
+  cluster_.Crash("db-c");
+  hosts_[0]->BreakConnections();
+  Write(0, 1);
+  EXPECT_EQ(Write(0, 1), ErrorCode::kBusy);
+  Roster alone = TestRoster(cluster_);
+  alone.erase("db-b");
+  alone.erase("db-c");
+  hosts_[0]->proxy()->OnRoster(clock_.now(), alone);
+  Run(3000);
+  EXPECT_EQ(Write(0, 1), ErrorCode::kNone);
+}
+
+// The databases' entries lapse while the store is away and come back later. The
+// replicas are there all the while, and one of them would be promoted; what
+// none has received is not to be acknowledged because the list is empty.
+TEST_F(ProxyTest, CountsReplicasWhoseEntriesHaveLapsed) {
+  Make(1);
+  Start(0, 1, "primary");
+  EXPECT_EQ(Write(0, 1), ErrorCode::kNone);
+  cluster_.database("db-b").deaf = true;
+  cluster_.database("db-c").deaf = true;
+  hosts_[0]->proxy()->OnRoster(clock_.now(), Roster());
+  EXPECT_EQ(Write(0, 1), ErrorCode::kInDoubt);
+}
+
 // Replicas receive nothing for seconds while reads keep them busy. Each
 // question takes a slot that a read could have; asked again as soon as an
 // answer has come, they would be asked hundreds of times a second by every
