An instance whose relay falls silent turns to the store

Version 9, acknowledged at 8.86 s, was not in force on an instance at 14.5 s.

Ruled out: relays that claim to be current (they are given up after 3 s, and all at once); the instance itself (others of its side had the version in time).

Change: a relay that is lost, rather than one that says that it is not current, sends the instance to the store for two seconds.

Test: mirror_fleet TurnsToTheStoreWhenItsRelaysFallSilent, failed before.

--- a/src/libcore/mirror/mirror.cc
+++ b/src/libcore/mirror/mirror.cc
@@ -271,6 +271,9 @@
   }
   relay_not_before_[relay_] =
       now + (lost ? timing_.after_lost : timing_.after_not_current);
+  // Silence takes long to notice. The next relay may be as silent, behind the
+  // same cut, so the store is asked what has been missed.
+  if (lost) store_until_ = now + timing_.relays_again;
   // With no relay left everybody turns to the store, which may be down; they
   // must not all do so at one moment.
   if (ChooseRelay(now).empty()) store_not_before_ = now + RetryPause();
--- a/testsuite/mirror_fleet/fleet_test.cc
+++ b/testsuite/mirror_fleet/fleet_test.cc
@@ -105,6 +105,28 @@
   EXPECT_EQ(fleet.Behind(), 0U);
 }
 
+// A network partition takes every relay of an instance away without a sign, and
+// leaves it the store. Each relay that is waited for in vain costs 1.7 s; tried
+// one after the other they cost more than the time in which a change has to be
+// in force.
+TEST(MirrorFleet, TurnsToTheStoreWhenItsRelaysFallSilent) {
+  for (int phase = 0; phase < 10; ++phase) {
+    MirrorFleet fleet(60, 1);
+    fleet.Start();
+    fleet.RunFor(milliseconds(130 * phase));
+    for (MirrorInstance* relay : fleet.Relays()) {
+      fleet.cut.insert({"instance-7", relay->name()});
+    }
+    ASSERT_FALSE(fleet.Find("instance-7")->mirror().follows_store());
+    for (int i = 0; i < 6; ++i) {
+      fleet.store.Put("config", std::to_string(i));
+      EXPECT_LT(fleet.TimeUntilLevel(milliseconds(8000)).count(), 3000)
+          << "phase " << phase << ", change " << i;
+      fleet.RunFor(milliseconds(700));
+    }
+  }
+}
+
 // All instances that others hear from are killed at one moment.
 TEST(MirrorFleet, FollowsTheStoreWhenNoRelayIsLeft) {
   MirrorFleet fleet(60, 1);
