Questions for a proof are paced when an answer proves nothing

Cause: a witness that knows a lower or a newer term than the primary's was asked again as soon as it had answered. Ruled out: confirmations, which pace themselves.

--- a/src/libcore/session/proxy_leadership.cc
+++ b/src/libcore/session/proxy_leadership.cc
@@ -149,6 +149,11 @@
   }
   SettleCommits(now, group);
   SettleProofs(now, group);
+  // It was asked before what has to be proved by now. One that was asked later
+  // and proves nothing is asked again at the pace of those that wait, or its
+  // answers would follow each other as fast as the network allows.
+  const bool too_early = asked < group->proof_wanted;
+  if (too_early && ProofWanted(*group)) AskReplicas(now, group);
   if (!report.primary) {
     if (group->primary == id) Deposed(now, group, id, "is a replica");
     return;
--- a/src/libcore/session/proxy_proving.cc
+++ b/src/libcore/session/proxy_proving.cc
@@ -98,7 +98,6 @@
       Finish(now, request, std::move(*request->unproved));
     }
   }
-  if (ProofWanted(*group)) AskReplicas(now, group);
 }
 
 /// The answer may miss acknowledged commits and is thrown away. A single read
