What is known of a database belongs to its birth; foreign entries name none

A database that starts again under its id holds nothing of before: what it was known to have received, its lead and what it said of terms are forgotten when its entry shows another start.

--- a/src/include/ryefold/core/session/directory.h
+++ b/src/include/ryefold/core/session/directory.h
@@ -62,6 +62,10 @@
   bool draining = false;
   /// Takes itself for the primary.
   bool claims_primary = false;
+  /// When its process started, by its own clock; epoch when it does not say. A
+  /// database that starts again under its id holds nothing of before, so what
+  /// is known of it belongs to one such moment.
+  std::chrono::sys_time<std::chrono::milliseconds> born;
 
   bool operator==(const Database&) const = default;
 };
--- a/src/include/ryefold/core/session/leadership_proof.h
+++ b/src/include/ryefold/core/session/leadership_proof.h
@@ -50,6 +50,9 @@
   /// `database`, asked at `asked`, knew of no term beyond `term`.
   void Told(const std::string& database, TimePoint asked, uint64_t term);
 
+  /// The database holds nothing of what it knew.
+  void Forget(const std::string& database);
+
   /// Up to which moment the leader is proved to have led, if it claimed to:
   /// `needed` of `others` were asked then or later and knew no newer term.
   TimePoint ProvedUntil(const std::vector<std::string>& others,
--- a/src/libcore/session/leadership_proof.cc
+++ b/src/libcore/session/leadership_proof.cc
@@ -36,6 +36,13 @@
   knowledge = {asked, term};
 }
 
+void LeadershipProof::Forget(const std::string& database) {
+  told_.erase(database);
+  if (database != leader_) return;
+  leader_.clear();
+  claims_.clear();
+}
+
 TimePoint LeadershipProof::ProvedUntil(const std::vector<std::string>& others,
                                        size_t needed) const {
   if (needed == 0) return TimePoint::max();
--- a/src/libcore/session/proxy_impl.h
+++ b/src/libcore/session/proxy_impl.h
@@ -57,6 +57,7 @@
   void ConnectionOpened(TimePoint now, ConnectionId id);
   void ConnectionRefused(TimePoint now, ConnectionId id, ErrorCode error);
   void OnRoster(TimePoint now, const Roster& roster);
+  void Reborn(TimePoint now, DatabaseState* database);
   void OnRoutes(TimePoint now, const RouteTable& routes);
   void ProbeGroup(TimePoint now, Group* group);
   void MaintainPools(TimePoint now);
@@ -235,6 +236,7 @@
   std::map<std::string, std::shared_ptr<const Route>> routes_;
   bool have_routes_ = false;
   bool have_roster_ = false;
+  Roster roster_;
   std::map<std::string, std::unique_ptr<Group>> groups_;
   std::map<std::string, DatabaseState> databases_;
   std::unordered_map<CallerId, Caller> callers_;
--- a/src/libcore/session/proxy_pool.cc
+++ b/src/libcore/session/proxy_pool.cc
@@ -87,6 +87,8 @@
   for (const auto& [name, limits] : table_.groups) {
     EnsureGroup(name)->limits = limits;
   }
+  // Databases of a group that is configured only now have been passed over.
+  if (have_roster_) OnRoster(now, Roster(roster_));
   for (auto& [name, group] : groups_) group->routes.clear();
   for (const auto& [name, route] : table_.routes) {
     routes_[name] = std::make_shared<const Route>(route);
@@ -99,7 +101,13 @@
 
 void Proxy::Impl::OnRoster(TimePoint now, const Roster& roster) {
   have_roster_ = true;
+  roster_ = roster;
   for (const auto& [id, info] : roster) {
+    // One of a group that nobody has configured is of no use, and its address
+    // may be anybody's.
+    const bool unconfigured =
+        databases_.count(id) == 0 && table_.groups.count(info.group) == 0;
+    if (have_routes_ && unconfigured) continue;
     DatabaseState& database = databases_[id];
     const bool known = !database.info.id.empty();
     if (known && database.info == info && !database.unlisted) continue;
@@ -111,6 +119,7 @@
         .Add("draining", info.draining ? "yes" : "no")
         .Add("claims_primary", info.claims_primary ? "yes" : "no")
         .Add("was_unlisted", database.unlisted ? "yes" : "no");
+    if (known && info.born != database.info.born) Reborn(now, &database);
     if (info.draining && !database.info.draining) database.draining_since = now;
     if (!info.claims_primary) database.claims_since = TimePoint();
     if (info.claims_primary && database.claims_since == TimePoint()) {
@@ -137,6 +146,27 @@
   }
 }
 
+/// The database has started again under its id and holds nothing of before.
+/// What it was known to have received must confirm no commit any more, nor name
+/// it the most advanced: callers would lose what they were told is saved. Nor
+/// may its former lead or what it said of terms prove anything.
+void Proxy::Impl::Reborn(TimePoint now, DatabaseState* database) {
+  Event(events_, EventWeight::kState, "database_started_anew")
+      .Add("database", database->info.id)
+      .Add("group", database->info.group)
+      .Add("had_received", database->status.received.index)
+      .Add("had_applied", database->known.index);
+  database->known = LogPosition();
+  database->status = StatusReport();
+  database->status_from = now;
+  database->lag = LagEstimate();
+  Group* group = EnsureGroup(database->info.group);
+  group->proof.Forget(database->info.id);
+  if (group->primary == database->info.id) {
+    Deposed(now, group, database->info.id, "started anew");
+  }
+}
+
 bool Proxy::Impl::Suspect(TimePoint now, const DatabaseState& database) const {
   if (database.refusals > 0 && database.connections == database.opening) {
     return true;
