--- a/src/include/ryefold/core/mirror/mirror.h
+++ b/src/include/ryefold/core/mirror/mirror.h
@@ -21,12 +21,12 @@
 
 struct MirrorTiming {
   /// Longest wait of one watch at the store. A watch can fall silent while its
-  /// connection looks alive, to the kernel's probes as well: after an outage the
-  /// store may simply have forgotten it. Changes are then missed without a sign,
-  /// and an instance goes on sending work to a database that has left. Only an
-  /// answer, or its absence, shows that a watch is alive; waits of 20 s let 22
-  /// to 148 statements reach a leaving database after its time, on 10 of 12
-  /// seeds of a day with such an outage. Costs one call each two seconds for
+  /// connection looks alive, to the kernel's probes as well: after an outage
+  /// the store may simply have forgotten it. Changes are then missed without a
+  /// sign, and an instance goes on sending work to a database that has left.
+  /// Only an answer, or its absence, shows that a watch is alive; waits of 20 s
+  /// let 22 to 148 statements reach a leaving database after its time, on 10 of
+  /// 12 seeds of a day with such an outage. Costs one call each two seconds for
   /// each instance that follows the store.
   std::chrono::milliseconds wait{2000};
   /// Time allowed for an answer to arrive once there is one: a listing of a
--- a/src/libcore/session/proxy_confirming.cc
+++ b/src/libcore/session/proxy_confirming.cc
@@ -86,9 +86,9 @@
   AskAgain(now, request);
 }
 
-/// Tells the caller that the commit is saved. Only from now on do its reads have
-/// to see it: one that stays in doubt must not take the place of an earlier one
-/// that was acknowledged, or the session would miss its own data.
+/// Tells the caller that the commit is saved. Only from now on do its reads
+/// have to see it: one that stays in doubt must not take the place of an
+/// earlier one that was acknowledged, or the session would miss its own data.
 void Proxy::Impl::Acknowledge(TimePoint now, Request* request, Reply reply) {
   Caller* caller = FindCaller(request->caller);
   if (caller != nullptr) NoteCommit(now, caller, reply);
--- a/src/libcore/session/proxy_placing.cc
+++ b/src/libcore/session/proxy_placing.cc
@@ -94,8 +94,7 @@
   }
   const bool detoured =
       callers_.at(request->caller).adopted && group->keepers.empty();
-  const bool doubtful =
-      NeedsLead(*request, *group) && LeadInDoubt(now, *group);
+  const bool doubtful = NeedsLead(*request, *group) && LeadInDoubt(now, *group);
   if (doubtful && TryDetour(now, request, group)) return;
   if (doubtful) {
     Refuse(now, request, no_primary, kNoPrimaryRetry, "lead_in_doubt");
--- a/src/libcore/session/proxy_replies.cc
+++ b/src/libcore/session/proxy_replies.cc
@@ -128,8 +128,8 @@
     Retry(now, request);
     return;
   }
-  const bool plain = expected.needs_lead ||
-                     request->statement.kind == StatementKind::kBegin;
+  const bool plain =
+      expected.needs_lead || request->statement.kind == StatementKind::kBegin;
   if (plain && reply.position.has_value() &&
       !Claimed(now, group, connection->database, expected.sent,
                *reply.position)) {
--- /dev/null
+++ b/testsuite/platform_directory/directory_test.cc
@@ -0,0 +1,147 @@
+// Entries of the store that another writer has left where databases report.
+
+#include "platform/directory.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include "platform/records.h"
+
+namespace ryefold::platform {
+namespace {
+
+constexpr const char* kSound =
+    R"({"service":"g","address":"10.0.0.1:80","zone":"z","version":"v1",)"
+    R"("slots":5,"state":"ready","cold_left_ms":0,"db_role":"replica",)"
+    R"("sequence":4,"born":1764720000000})";
+
+/// Takes down what the directory tells and logs.
+class Listener : public core::session::DirectoryListener,
+                 public core::EventSink {
+ public:
+  void OnRoutes(core::TimePoint /*now*/,
+                const core::session::RouteTable& routes) override {
+    routes_ = routes;
+  }
+  void OnRoster(core::TimePoint /*now*/,
+                const core::session::Roster& roster) override {
+    roster_ = roster;
+  }
+  bool Wants(core::EventWeight /*weight*/) override { return true; }
+  void Write(core::EventWeight /*weight*/, std::string_view line) override {
+    lines_.emplace_back(line);
+  }
+
+  core::session::RouteTable routes_;
+  core::session::Roster roster_;
+  std::vector<std::string> lines_;
+};
+
+core::mirror::Entry MakeEntry(const std::string& key, const std::string& value,
+                              uint64_t revision) {
+  core::mirror::Entry entry;
+  entry.key = key;
+  entry.value = value;
+  entry.revision = revision;
+  return entry;
+}
+
+class DirectoryTest : public testing::Test {
+ protected:
+  void Put(const std::string& key, const std::string& value) {
+    items_[key] = MakeEntry(key, value, ++revision_);
+    directory_.OnItems(items_, {{key, items_[key]}});
+  }
+
+  Listener listener_;
+  Directory directory_{&listener_, &listener_};
+  core::mirror::EntryMap items_;
+  uint64_t revision_ = 0;
+};
+
+// Somebody else's program writes below the databases' prefix: members missing
+// or of another type, words that nobody knows, bytes that are no text. Callers
+// must not be sent there, and must go on being served by the others.
+TEST_F(DirectoryTest, ForeignEntriesNameNoDatabase) {
+  Put("servers/sound", kSound);
+  std::string null_byte = "{\"service\":\"g";
+  null_byte.push_back('\0');
+  const std::vector<std::string> foreign = {
+      "",
+      "null",
+      "[]",
+      "7",
+      null_byte,
+      "\xff\xfe\x80\x81",
+      std::string(100000, '['),
+      std::string(1 << 20, 'x'),
+      R"({"service":"g","address":"a:1"})",
+      R"({"service":7,"address":"a:1","state":"ready","db_role":"replica"})",
+      R"({"service":"g","address":["a"],"state":"ready","db_role":"replica"})",
+      R"({"service":"g","address":"a:1","state":"odd","db_role":"replica"})",
+      R"({"service":"g","address":"a:1","state":"ready","db_role":"king"})",
+      R"({"service":"g","address":"a:1","state":"ready","db_role":"replica",)"
+      R"("slots":"many"})",
+      R"({"service":"g","address":"a:1","state":"ready","db_role":"replica",)"
+      R"("born":"yesterday"})"};
+  for (size_t i = 0; i < foreign.size(); ++i) {
+    Put("servers/foreign-" + std::to_string(i), foreign[i]);
+    EXPECT_EQ(listener_.roster_.size(), 1U) << foreign[i].substr(0, 80);
+  }
+  EXPECT_EQ(listener_.roster_.at("sound").group, "g");
+  EXPECT_EQ(listener_.lines_.size(), foreign.size());
+  for (const std::string& line : listener_.lines_) {
+    EXPECT_LT(line.size(), 400U);
+    EXPECT_EQ(line.find('\n'), std::string::npos);
+  }
+}
+
+// The foreign entry stays, and databases report several times a second. The
+// log tells of it once, or nothing else could be found there.
+TEST_F(DirectoryTest, TellsOfAForeignEntryOnce) {
+  Put("servers/foreign", "{}");
+  for (int i = 0; i < 50; ++i) Put("servers/sound", kSound);
+  EXPECT_EQ(listener_.lines_.size(), 1U);
+  Put("servers/foreign", "{ }");
+  EXPECT_EQ(listener_.lines_.size(), 2U);
+}
+
+// A configuration that cannot be read leaves the one before in force.
+TEST_F(DirectoryTest, KeepsTheConfigurationThatItCouldRead) {
+  Put("op/config", R"({"version":3,"routes":[],"services":[]})");
+  Put("op/config", R"({"version":4,"routes":"none"})");
+  Put("op/config", "\x01\x02");
+  EXPECT_EQ(listener_.routes_.version, 3U);
+}
+
+TEST(Records, CarryTheStartOfADatabase) {
+  wire::Findings findings;
+  const auto database = DecodeDatabase("i-1", kSound, &findings);
+  EXPECT_TRUE(findings.empty());
+  EXPECT_EQ(database.born.time_since_epoch().count(), 1764720000000);
+}
+
+RC_GTEST_PROP(DirectoryProperty, NoEntryHarmsTheOthers,
+              (const std::vector<std::pair<uint16_t, uint8_t>>& changes)) {
+  // A sound entry with some bytes changed at random, beside an untouched one.
+  std::string text = kSound;
+  for (const auto& [place, byte] : changes) {
+    text[place % text.size()] = static_cast<char>(byte);
+  }
+  Listener listener;
+  Directory directory(&listener, &listener);
+  const core::mirror::EntryMap items = {
+      {"servers/a", MakeEntry("servers/a", text, 1)},
+      {"servers/b", MakeEntry("servers/b", kSound, 2)}};
+  directory.OnItems(items, items);
+  RC_ASSERT(listener.roster_.count("b") == 1U);
+  if (listener.roster_.count("a") == 0) {
+    RC_ASSERT(listener.lines_.size() == 1U);
+  }
+}
+
+}  // namespace
+}  // namespace ryefold::platform
--- a/testsuite/session_proxy/proxy_test.cc
+++ b/testsuite/session_proxy/proxy_test.cc
@@ -65,6 +65,88 @@
   uint64_t last_id_ = 0;
 };
 
+// An entry names a database of a group that no configuration knows. Nothing may
+// be sent to its address, which may be anybody's, until it is configured.
+TEST_F(ProxyTest, PassesOverDatabasesOfUnknownGroups) {
+  Make(1);
+  const uint32_t opened = hosts_[0]->opened();
+  Roster roster = TestRoster(cluster_);
+  roster["db-x"] = roster["db-b"];
+  roster["db-x"].id = "db-x";
+  roster["db-x"].group = "elsewhere";
+  hosts_[0]->proxy()->OnRoster(clock_.now(), roster);
+  EXPECT_EQ(hosts_[0]->opened(), opened);
+  EXPECT_EQ(hosts_[0]->proxy()->groups(clock_.now()).size(), 1U);
+  RouteTable table = TestRoutes(21);
+  table.version = 2;
+  table.groups["elsewhere"] = table.groups["group"];
+  hosts_[0]->proxy()->OnRoutes(clock_.now(), table);
+  EXPECT_EQ(hosts_[0]->proxy()->groups(clock_.now()).size(), 2U);
+}
+
+// A replica starts again with an empty log, under the id that it had, while the
+// other receives nothing. What it had received before must not make it the
+// successor, nor confirm what it does not hold any more: the next loss of the
+// primary would take commits that callers were told are saved.
+TEST_F(ProxyTest, ForgetsWhatARebornReplicaHadReceived) {
+  Make(1);
+  Start(0, 1, "primary");
+  cluster_.database("db-c").deaf = true;
+  EXPECT_EQ(Write(0, 1), ErrorCode::kNone);
+  cluster_.database("db-b").deaf = true;
+  cluster_.Rebear("db-b");
+  hosts_[0]->BreakConnections();
+  hosts_[0]->proxy()->OnRoster(clock_.now(), TestRoster(cluster_));
+  const auto view = hosts_[0]->proxy()->groups(clock_.now()).front();
+  for (const auto& database : view.databases) {
+    if (database.id != "db-b") continue;
+    EXPECT_EQ(database.status.received, LogPosition());
+    EXPECT_EQ(database.applied, LogPosition());
+  }
+  Run(300);
+  EXPECT_EQ(Write(0, 1), ErrorCode::kInDoubt);
+}
+
+// The primary starts again under its id and has lost its log; nobody has been
+// promoted yet. It must not be taken for the primary any more, or callers would
+// read that nothing was ever booked.
+TEST_F(ProxyTest, TakesNoRebornPrimaryForOne) {
+  Make(1);
+  Start(0, 1, "primary");
+  Start(0, 2, "session");
+  EXPECT_EQ(Write(0, 1), ErrorCode::kNone);
+  cluster_.Rebear("db-a");
+  hosts_[0]->BreakConnections();
+  hosts_[0]->proxy()->OnRoster(clock_.now(), TestRoster(cluster_));
+  EXPECT_EQ(hosts_[0]->proxy()->groups(clock_.now()).front().primary, "");
+  EXPECT_NE(Read(0, 1), ErrorCode::kNone);
+  cluster_.Promote("db-b");
+  hosts_[0]->proxy()->OnRoster(clock_.now(), TestRoster(cluster_));
+  Run(500);
+  EXPECT_EQ(Read(0, 1), ErrorCode::kNone);
+  EXPECT_EQ(Write(0, 1), ErrorCode::kNone);
+}
+
+// A primary is dark: connections to it are neither accepted nor refused, and
+// each attempt is given up after a second. Its loss must show after one
+// silence, not begin anew with each attempt: callers wait for the successor
+// meanwhile.
+TEST_F(ProxyTest, SilenceOutlastsAnOpeningThatIsGivenUp) {
+  Make(1);
+  Start(0, 1, "primary");
+  EXPECT_EQ(Write(0, 1), ErrorCode::kNone);
+  cluster_.database("db-a").up = false;
+  hosts_[0]->CutFrom("db-a");
+  hosts_[0]->BreakConnections();
+  Run(2500);
+  const auto view = hosts_[0]->proxy()->groups(clock_.now()).front();
+  for (const auto& database : view.databases) {
+    if (database.id != "db-a") continue;
+    EXPECT_NE(database.silent_since, TimePoint());
+    EXPECT_GT(clock_.now() - database.silent_since, milliseconds(2000));
+  }
+}
+
 // The path from one instance to the primary is gone, while the other instances
 // reach it. Callers of the first must be able to write all the same, and no
 // promotion is needed for it.
--- a/testsuite/support/session/fake_cluster.h
+++ b/testsuite/support/session/fake_cluster.h
@@ -84,6 +84,7 @@
   /// Since when an old primary that goes on reaches the one that replaced it;
   /// epoch when it does not.
   TimePoint reaches_successor_since;
+  TimePoint born;
   /// Databases that it is partitioned from.
   std::set<std::string> cut_from;
   bool up = true;
@@ -206,6 +207,17 @@
     }
   }
   void Restart(const std::string& id) { databases_.at(id).up = true; }
+  /// Starts it again under its id, with nothing of what it held and knew.
+  void Rebear(const std::string& id) {
+    Crash(id);
+    FakeDatabase& database = databases_.at(id);
+    database.log.clear();
+    database.received_at.clear();
+    database.primary = false;
+    database.term = 1;
+    database.born = clock_->now();
+    database.up = true;
+  }
 
   /// The database leads the next term with what it has received.
   void Promote(const std::string& id) {
--- a/testsuite/support/session/instance_host.h
+++ b/testsuite/support/session/instance_host.h
@@ -57,6 +57,9 @@
     database.group = "group";
     database.address = std::string("10.0.0.1:1") + id[3];
     database.failure_domain = std::string(id).substr(3);
+    database.born = std::chrono::sys_time<milliseconds>(
+        std::chrono::duration_cast<milliseconds>(
+            cluster.database(id).born.time_since_epoch()));
     database.claims_primary = cluster.database(id).primary;
     roster[id] = database;
   }
