--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -17,8 +17,10 @@
 # Real daemons with faults from outside, a few fresh seeds.
 for ((n = 0; n < ${SOAKS:-6}; ++n)); do
   folder=$(mktemp -d)
+  go_on=()
+  [ $((n % 2)) -eq 0 ] || go_on=(--databases-go-on)
   "$build/soak_sessions" --program "$build/ryefoldd" --folder "$folder" \
-    --seed "$((seed + n))" --seconds "${SECONDS_EACH:-15}" ||
+    --seed "$((seed + n))" --seconds "${SECONDS_EACH:-15}" "${go_on[@]}" ||
     { echo "FAILED: soak_sessions --seed $((seed + n)), logs in $folder"; failed=1; continue; }
   rm -rf "$folder"
 done
--- a/testsuite/mirror_random/random_test.cc
+++ b/testsuite/mirror_random/random_test.cc
@@ -17,7 +17,7 @@
 constexpr uint64_t kFirstSeed = 20261203;
 constexpr uint64_t kSeeds = 200;
 /// Within this time everything is read anew at least once: it is due after half
-/// a minute, and then when the watch that waits has ended, 20 s later at most.
+/// a minute, and then when the watch that waits has ended, 3 s later at most.
 constexpr milliseconds kAllRead{55000};
 
 uint64_t FromEnvironment(const char* name, uint64_t usual) {
@@ -27,8 +27,11 @@
 
 class RandomRun {
  public:
-  explicit RandomRun(uint64_t seed)
-      : random_(seed), fleet_(Pick(4, 40), seed), fills_(Pick(0, 120)) {}
+  RandomRun(uint64_t seed, bool loses_watches)
+      : random_(seed),
+        fleet_(Pick(4, 40), seed),
+        fills_(Pick(0, 120)),
+        loses_watches_(loses_watches) {}
 
   void Run() {
     for (uint64_t i = 0; i < fills_; ++i) Write();
@@ -65,6 +68,7 @@
   }
 
   void Step() {
+    if (loses_watches_ && Pick(0, 9) == 0) fleet_.store.LoseWatches();
     switch (Pick(0, 15)) {
       case 0:
         fleet_.store.down = !fleet_.store.down;
@@ -128,16 +132,28 @@
   std::mt19937_64 random_;
   MirrorFleet fleet_;
   uint64_t fills_;
+  /// Now and then the store forgets the watches that wait.
+  bool loses_watches_;
 };
 
-TEST(MirrorRandom, EndsWithTheStoresKeysAndNeverGoesBack) {
+void PlaySeeds(bool loses_watches) {
   const uint64_t first = FromEnvironment("RYEFOLD_SEED", kFirstSeed);
   const uint64_t seeds = FromEnvironment("RYEFOLD_RUNS", kSeeds);
   for (uint64_t seed = first; seed < first + seeds; ++seed) {
-    RandomRun(seed).Run();
-    ASSERT_FALSE(HasFailure()) << "seed " << seed;
+    RandomRun(seed, loses_watches).Run();
+    ASSERT_FALSE(testing::Test::HasFailure()) << "seed " << seed;
   }
 }
 
+TEST(MirrorRandom, EndsWithTheStoresKeysAndNeverGoesBack) {
+  PlaySeeds(/*loses_watches=*/false);
+}
+
+// The same where the store forgets watches that wait, without a sign on their
+// connections.
+TEST(MirrorRandom, EndsWithTheStoresKeysThoughWatchesAreForgotten) {
+  PlaySeeds(/*loses_watches=*/true);
+}
+
 }  // namespace
 }  // namespace ryefold::testsuite
--- a/testsuite/process_soak/run.sh
+++ b/testsuite/process_soak/run.sh
@@ -12,4 +12,8 @@
   "$build/soak_sessions" --program "$build/ryefoldd" --folder "$folder/$seed" \
     --seed "$seed" --seconds "$seconds" || failed=1
 done < <(grep -v '^#' testsuite/soak/SEEDS)
+# Databases that go on after they were replaced, and that are started anew.
+mkdir -p "$folder/go-on"
+"$build/soak_sessions" --program "$build/ryefoldd" --folder "$folder/go-on" \
+  --seed 602 --seconds 8 --databases-go-on || failed=1
 exit "$failed"
--- a/testsuite/soak/main.cc
+++ b/testsuite/soak/main.cc
@@ -54,6 +54,8 @@
   std::string folder;
   uint64_t seed = 1;
   milliseconds span{10000};
+  /// Replaced primaries go on, and databases are started anew.
+  bool databases_go_on = false;
 };
 
 std::string Config(uint64_t version) {
@@ -82,6 +84,7 @@
                    [this](const wire::HttpExchange& e) { OnPromote(e); }) {}
 
   bool Prepare() {
+    if (options_.databases_go_on) databases_.cluster().LetReplacedGoOn();
     std::vector<std::string> errors = {store_.Listen("127.0.0.1:0"),
                                        promotion_.Listen("127.0.0.1:0"),
                                        databases_.Start()};
@@ -194,6 +197,10 @@
     const size_t instance = random()() % kInstances;
     const milliseconds span(300 + random()() % 2500);
     const auto harm = static_cast<LinkHarm>(1 + random()() % 4);
+    if (options_.databases_go_on && random()() % 3 == 0) {
+      HarmGroup(database, span);
+      return;
+    }
     switch (random()() % 11) {
       case 0:
       case 1:
@@ -237,6 +244,26 @@
         break;
     }
   }
+  /// Partitions the primary from the others, which may be promoted and leave it
+  /// to go on, or starts a replica anew while the other one receives.
+  void HarmGroup(const std::string& database, milliseconds span) {
+    testsuite::FakeCluster& cluster = databases_.cluster();
+    const std::string primary = cluster.primary();
+    if (database == primary) {
+      for (const char* id : {"db-a", "db-b", "db-c"}) {
+        if (id != primary) cluster.Cut(primary, id);
+      }
+      After(base_, span * 2, [this] { databases_.cluster().HealCuts(); });
+      return;
+    }
+    for (const char* id : {"db-a", "db-b", "db-c"}) {
+      const testsuite::FakeDatabase& other = cluster.database(id);
+      if (other.deaf || !other.cut_from.empty()) return;
+      if (other.primary && id != primary) return;
+    }
+    databases_.Rebear(database);
+  }
+
   void HealDatabases() {
     for (const char* id : {"db-a", "db-b", "db-c"}) {
       testsuite::FakeDatabase& database = databases_.cluster().database(id);
@@ -248,6 +275,7 @@
   }
   void Heal() {
     HealDatabases();
+    databases_.cluster().HealCuts();
     store_.faults() = standins::KeyValueFaults();
     for (auto& [id, link] : links_) link->SetHarm(LinkHarm::kNone, {});
     for (auto& link : store_links_) link->SetHarm(LinkHarm::kNone, {});
@@ -340,6 +368,9 @@
       "folder", "folder for settings and logs",
       cxxopts::value<std::string>()->default_value("/tmp"))(
       "seed", "seed", cxxopts::value<uint64_t>()->default_value("1"))(
+      "databases-go-on",
+      "replaced primaries go on for a while, databases are started anew",
+      cxxopts::value<bool>()->default_value("false"))(
       "seconds", "time with faults",
       cxxopts::value<uint64_t>()->default_value("10"));
   const auto parsed = flags.parse(argc, argv);
@@ -351,5 +382,6 @@
   options.seed = parsed["seed"].as<uint64_t>();
   options.span = std::chrono::seconds(
       static_cast<int64_t>(parsed["seconds"].as<uint64_t>()));
+  options.databases_go_on = parsed["databases-go-on"].as<bool>();
   return ryefold::soak::Play(options);
 }
--- a/testsuite/standins/lib/line_databases.cc
+++ b/testsuite/standins/lib/line_databases.cc
@@ -189,13 +189,17 @@
 void LineDatabases::Register() {
   for (const auto& [id, server] : servers_) {
     if (!cluster_.database(id).up) continue;
-    const char* role = cluster_.primary() == id ? "primary" : "replica";
+    const testsuite::FakeDatabase& database = cluster_.database(id);
+    const char* role = database.primary ? "primary" : "replica";
+    const auto born = std::chrono::duration_cast<std::chrono::milliseconds>(
+        database.born.time_since_epoch());
     store_->Put("servers/" + id,
                 "{\"service\":\"" + group_ + "\",\"address\":\"127.0.0.1:" +
                     std::to_string(server.advertised) + "\",\"zone\":\"" +
                     id.substr(3) +
                     "\",\"slots\":3,\"state\":\"ready\",\"db_role\":\"" + role +
-                    "\",\"sequence\":1}");
+                    "\",\"sequence\":1,\"born\":" +
+                    std::to_string(born.count()) + "}");
   }
 }
 
@@ -219,6 +223,14 @@
   store_->Delete("servers/" + id);
 }
 
+void LineDatabases::Rebear(const std::string& id) {
+  for (const std::unique_ptr<Link>& link : links_) {
+    if (link->database() == id) link->Close();
+  }
+  cluster_.Rebear(id);
+  Register();
+}
+
 int LineDatabases::Promote(const std::string& id, uint64_t token) {
   constexpr int kOk = 200;
   constexpr int kConflict = 409;
--- a/testsuite/standins/lib/line_databases.h
+++ b/testsuite/standins/lib/line_databases.h
@@ -42,6 +42,8 @@
   /// Ends a database: its port refuses, its connections are reset, its entry
   /// goes.
   void Crash(const std::string& id);
+  /// Starts a database again under its id, with nothing of what it held.
+  void Rebear(const std::string& id);
   /// Takes the call that promotes; the HTTP status of the answer.
   int Promote(const std::string& id, uint64_t token);
   void Register();
