A primary known by the list is asked for its term before it is given up

Cause: at each failover an instance that hears of the successor by the list first took it for the leader of the old term, gave it up when a replica showed the new one, and found it again 20 ms later.

--- a/src/libcore/session/proxy_leadership.cc
+++ b/src/libcore/session/proxy_leadership.cc
@@ -97,6 +97,16 @@
                            const std::string& database, uint64_t term) {
   if (term <= group->term || database == group->primary) return;
   if (!KnownByItsWord(*group)) return;
+  // It may be the new term's primary itself: one that began to claim the lead
+  // after it last told its term is asked first. Giving it up at once would turn
+  // statements away for some 20 ms of each failover.
+  DatabaseState* primary = FindDatabase(group->primary);
+  const bool may_be_newer =
+      primary != nullptr && primary->status_from < primary->claims_since;
+  if (may_be_newer) {
+    AskStatus(now, primary, /*beyond_cap=*/false);
+    return;
+  }
   group->term = term;
   Deposed(now, group, group->primary, "a newer term is known");
 }
