--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -4,6 +4,24 @@
 
 fleet_pids=()
 
+# fleet_test: a folder for the fleet of a test, ended and removed when the test
+# exits; a failed one shows the ends of the logs.
+fleet_test() {
+  fleet=$(mktemp -d)
+  trap fleet_finish EXIT
+}
+fleet_finish() {
+  local code=$?
+  [ "$code" -eq 0 ] || tail -n 5 "$fleet"/*.log >&2
+  fleet_down
+  rm -rf "$fleet"
+  exit "$code"
+}
+fail() {
+  echo "$1" >&2
+  exit 1
+}
+
 # fleet_up N: starts the stand-in and N gateways.
 fleet_up() {
   local build="${BUILD:-build}" n turn
--- a/src/libcore/session/proxy.cc
+++ b/src/libcore/session/proxy.cc
@@ -37,7 +37,7 @@
     if (now >= request->timeout_at) {
       TimeOut(now, request);
     } else {
-      Hedge(now, request);
+      LookAfter(now, request);
     }
   }
   if (now < maintain_at_) return;
--- a/src/libcore/session/proxy_impl.h
+++ b/src/libcore/session/proxy_impl.h
@@ -43,6 +43,8 @@
   void Dispatch(TimePoint now, Request* request);
   void PumpAll(TimePoint now);
   void Pump(TimePoint now, Group* group);
+  void LookAfter(TimePoint now, Request* request);
+  void Resend(TimePoint now, Request* request);
   void Hedge(TimePoint now, Request* request);
 
   // proxy_replies.cc: what databases answer.
--- a/src/libcore/session/proxy_placing.cc
+++ b/src/libcore/session/proxy_placing.cc
@@ -406,24 +406,33 @@
   port_->SendCalls(connection->id, calls);
 }
 
-/// The database that has the read keeps silent: asks another, or the same one
-/// on another connection. A beginning that is answered twice is rolled back on
-/// the connection that answers last. A step of a transaction that the database
-/// had no room for is sent once more.
-void Proxy::Impl::Hedge(TimePoint now, Request* request) {
+/// The request's timer is due: whatever it waits for has taken longer than
+/// usual.
+void Proxy::Impl::LookAfter(TimePoint now, Request* request) {
   if (request->unconfirmed.has_value() || request->unproved.has_value()) {
     AskAgain(now, request);
     return;
   }
   SetTimer(request, request->timeout_at);
   if (request->need == Need::kTransaction) {
-    const Caller& caller = callers_.at(request->caller);
-    Connection* connection = FindConnection(caller.transaction.connection);
-    if (request->running.empty() && connection != nullptr) {
-      Send(now, connection, request, std::nullopt);
-    }
-    return;
+    Resend(now, request);
+  } else {
+    Hedge(now, request);
   }
+}
+
+/// A step of a transaction that the database had no room for is sent once more.
+void Proxy::Impl::Resend(TimePoint now, Request* request) {
+  const Caller& caller = callers_.at(request->caller);
+  Connection* connection = FindConnection(caller.transaction.connection);
+  if (!request->running.empty() || connection == nullptr) return;
+  Send(now, connection, request, std::nullopt);
+}
+
+/// The database that has the read keeps silent: asks another, or the same one
+/// on another connection. A beginning that is answered twice is rolled back on
+/// the connection that answers last.
+void Proxy::Impl::Hedge(TimePoint now, Request* request) {
   if (request->queued || request->running.empty()) return;
   ++request->hedges;
   request->turned_down.push_back(request->database);
--- a/testsuite/process_load/run.sh
+++ b/testsuite/process_load/run.sh
@@ -4,20 +4,8 @@
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 export BUILD="${BUILD:-build}"
-fleet=$(mktemp -d)
 . scripts/fleet.sh
-finish() {
-  local code=$?
-  [ "$code" -eq 0 ] || tail -n 5 "$fleet"/*.log >&2
-  fleet_down
-  rm -rf "$fleet"
-  exit "$code"
-}
-trap finish EXIT
-fail() {
-  echo "$1" >&2
-  exit 1
-}
+fleet_test
 
 fleet_up 2
 "$BUILD/load_sessions" --gateway "127.0.0.1:$(cat "$fleet/gateway-1.port")" \
--- a/testsuite/process_sessions/run.sh
+++ b/testsuite/process_sessions/run.sh
@@ -5,21 +5,9 @@
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 export BUILD="${BUILD:-build}"
-fleet=$(mktemp -d)
 . scripts/fleet.sh
-finish() {
-  local code=$?
-  [ "$code" -eq 0 ] || tail -n 5 "$fleet"/*.log >&2
-  fleet_down
-  rm -rf "$fleet"
-  exit "$code"
-}
-trap finish EXIT
+fleet_test
 
-fail() {
-  echo "$1" >&2
-  exit 1
-}
 # explained ID PATTERN WHAT: the walk from the id shows a line that matches.
 explained() {
   sleep 0.6 # lines are written some times a second
--- a/testsuite/session_random/random_test.cc
+++ b/testsuite/session_random/random_test.cc
@@ -155,19 +155,33 @@
   return {kCallers, 5, 5};
 }
 
+/// The steps of one random run, each a pause drawn from `least` on and a fault.
+struct Steps {
+  int count = 8;
+  uint64_t least_ms = 200;
+  uint64_t spread_ms = 900;
+  void (*fault)(CheckedCallers*) = nullptr;
+};
+
+/// Plays the steps, heals everything, and checks what only the end can tell.
+void PlayOut(CheckedCallers* callers, const Steps& steps) {
+  for (int step = 0; step < steps.count; ++step) {
+    callers->Run(
+        milliseconds(steps.least_ms + callers->random()() % steps.spread_ms));
+    steps.fault(callers);
+    if (callers->random()() % 3 == 0) Heal(callers);
+  }
+  Heal(callers);
+  callers->Stop();
+  callers->Run(milliseconds(6000));
+  callers->CheckAtEnd();
+}
+
 /// Plays one seed and adds to `sum`.
 void PlayFaults(uint64_t seed, CheckedCallers::Tally* sum) {
   SCOPED_TRACE("seed " + std::to_string(seed));
   CheckedCallers callers(seed, SizeFor(seed));
-  for (int step = 0; step < 8; ++step) {
-    callers.Run(milliseconds(200 + callers.random()() % 900));
-    Fault(&callers);
-    if (callers.random()() % 3 == 0) Heal(&callers);
-  }
-  Heal(&callers);
-  callers.Stop();
-  callers.Run(milliseconds(6000));
-  callers.CheckAtEnd();
+  PlayOut(&callers, {8, 200, 900, Fault});
   sum->done += callers.tally().done;
   sum->refused += callers.tally().refused;
   sum->acknowledged_writes += callers.tally().acknowledged_writes;
@@ -271,15 +285,7 @@
   for (uint64_t seed = first; seed < first + runs; ++seed) {
     SCOPED_TRACE("seed " + std::to_string(seed));
     CheckedCallers callers(seed, SizeFor(seed));
-    for (int step = 0; step < 10; ++step) {
-      callers.Run(milliseconds(100 + callers.random()() % 500));
-      LosingFault(&callers);
-      if (callers.random()() % 3 == 0) Heal(&callers);
-    }
-    Heal(&callers);
-    callers.Stop();
-    callers.Run(milliseconds(6000));
-    callers.CheckAtEnd();
+    PlayOut(&callers, {10, 100, 500, LosingFault});
     for (const LogPosition& lost : callers.LostCommits()) {
       ADD_FAILURE() << "lost " << lost.term << "." << lost.index;
     }
@@ -324,6 +330,20 @@
   });
 }
 
+void FaultOfOneThatGoesOn(CheckedCallers* callers) {
+  switch (callers->random()() % 4) {
+    case 0:
+      IsolateSomeWithThePrimary(callers);
+      break;
+    case 1:
+      Fault(callers);
+      break;
+    default:
+      ReplaceOneThatGoesOn(callers);
+      break;
+  }
+}
+
 // A primary that has been replaced does not notice, or is partitioned from its
 // successor, and goes on: it lets transactions begin, answers reads and takes
 // commits, for some instances and not for others. A coach who has been told
@@ -337,25 +357,7 @@
     SCOPED_TRACE("seed " + std::to_string(seed));
     CheckedCallers callers(seed, SizeFor(seed));
     callers.cluster().LetReplacedGoOn();
-    for (int step = 0; step < 8; ++step) {
-      callers.Run(milliseconds(200 + callers.random()() % 900));
-      switch (callers.random()() % 4) {
-        case 0:
-          IsolateSomeWithThePrimary(&callers);
-          break;
-        case 1:
-          Fault(&callers);
-          break;
-        default:
-          ReplaceOneThatGoesOn(&callers);
-          break;
-      }
-      if (callers.random()() % 3 == 0) Heal(&callers);
-    }
-    Heal(&callers);
-    callers.Stop();
-    callers.Run(milliseconds(6000));
-    callers.CheckAtEnd();
+    PlayOut(&callers, {8, 200, 900, FaultOfOneThatGoesOn});
     sum.done += callers.tally().done;
     sum.refused += callers.tally().refused;
     sum.acknowledged_writes += callers.tally().acknowledged_writes;
--- a/testsuite/standins/lib/line_databases.cc
+++ b/testsuite/standins/lib/line_databases.cc
@@ -193,13 +193,13 @@
     const char* role = database.primary ? "primary" : "replica";
     const auto born = std::chrono::duration_cast<std::chrono::milliseconds>(
         database.born.time_since_epoch());
-    store_->Put("servers/" + id,
-                "{\"service\":\"" + group_ + "\",\"address\":\"127.0.0.1:" +
-                    std::to_string(server.advertised) + "\",\"zone\":\"" +
-                    id.substr(3) +
-                    "\",\"slots\":3,\"state\":\"ready\",\"db_role\":\"" + role +
-                    "\",\"sequence\":1,\"born\":" +
-                    std::to_string(born.count()) + "}");
+    store_->Put(
+        "servers/" + id,
+        "{\"service\":\"" + group_ +
+            "\",\"address\":\"127.0.0.1:" + std::to_string(server.advertised) +
+            "\",\"zone\":\"" + id.substr(3) +
+            "\",\"slots\":3,\"state\":\"ready\",\"db_role\":\"" + role +
+            "\",\"sequence\":1,\"born\":" + std::to_string(born.count()) + "}");
   }
 }
 
