--- a/src/libcore/session/proxy_impl.h
+++ b/src/libcore/session/proxy_impl.h
@@ -59,7 +59,7 @@
   void ConnectionOpened(TimePoint now, ConnectionId id);
   void ConnectionRefused(TimePoint now, ConnectionId id, ErrorCode error);
   void OnRoster(TimePoint now, const Roster& roster);
-  void Reborn(TimePoint now, DatabaseState* database);
+  void StartedAnew(TimePoint now, DatabaseState* database);
   void OnRoutes(TimePoint now, const RouteTable& routes);
   void ProbeGroup(TimePoint now, Group* group);
   void MaintainPools(TimePoint now);
--- a/src/libcore/session/proxy_pool.cc
+++ b/src/libcore/session/proxy_pool.cc
@@ -119,7 +119,7 @@
         .Add("draining", info.draining ? "yes" : "no")
         .Add("claims_primary", info.claims_primary ? "yes" : "no")
         .Add("was_unlisted", database.unlisted ? "yes" : "no");
-    if (known && info.born != database.info.born) Reborn(now, &database);
+    if (known && info.born != database.info.born) StartedAnew(now, &database);
     if (info.draining && !database.info.draining) database.draining_since = now;
     if (!info.claims_primary) database.claims_since = TimePoint();
     if (info.claims_primary && database.claims_since == TimePoint()) {
@@ -150,7 +150,7 @@
 /// What it was known to have received must confirm no commit any more, nor name
 /// it the most advanced: callers would lose what they were told is saved. Nor
 /// may its former lead or what it said of terms prove anything.
-void Proxy::Impl::Reborn(TimePoint now, DatabaseState* database) {
+void Proxy::Impl::StartedAnew(TimePoint now, DatabaseState* database) {
   Event(events_, EventWeight::kState, "database_started_anew")
       .Add("database", database->info.id)
       .Add("group", database->info.group)
--- a/testsuite/session_proxy/proxy_test.cc
+++ b/testsuite/session_proxy/proxy_test.cc
@@ -94,7 +94,7 @@
   cluster_.database("db-c").deaf = true;
   EXPECT_EQ(Write(0, 1), ErrorCode::kNone);
   cluster_.database("db-b").deaf = true;
-  cluster_.Rebear("db-b");
+  cluster_.StartAnew("db-b");
   hosts_[0]->BreakConnections();
   hosts_[0]->proxy()->OnRoster(clock_.now(), TestRoster(cluster_));
   const auto view = hosts_[0]->proxy()->groups(clock_.now()).front();
@@ -115,7 +115,7 @@
   Start(0, 1, "primary");
   Start(0, 2, "session");
   EXPECT_EQ(Write(0, 1), ErrorCode::kNone);
-  cluster_.Rebear("db-a");
+  cluster_.StartAnew("db-a");
   hosts_[0]->BreakConnections();
   hosts_[0]->proxy()->OnRoster(clock_.now(), TestRoster(cluster_));
   EXPECT_EQ(hosts_[0]->proxy()->groups(clock_.now()).front().primary, "");
--- a/testsuite/soak/main.cc
+++ b/testsuite/soak/main.cc
@@ -261,7 +261,7 @@
       if (other.deaf || !other.cut_from.empty()) return;
       if (other.primary && id != primary) return;
     }
-    databases_.Rebear(database);
+    databases_.StartAnew(database);
   }
 
   void HealDatabases() {
--- a/testsuite/standins/lib/line_databases.cc
+++ b/testsuite/standins/lib/line_databases.cc
@@ -223,11 +223,11 @@
   store_->Delete("servers/" + id);
 }
 
-void LineDatabases::Rebear(const std::string& id) {
+void LineDatabases::StartAnew(const std::string& id) {
   for (const std::unique_ptr<Link>& link : links_) {
     if (link->database() == id) link->Close();
   }
-  cluster_.Rebear(id);
+  cluster_.StartAnew(id);
   Register();
 }
 
--- a/testsuite/standins/lib/line_databases.h
+++ b/testsuite/standins/lib/line_databases.h
@@ -43,7 +43,7 @@
   /// goes.
   void Crash(const std::string& id);
   /// Starts a database again under its id, with nothing of what it held.
-  void Rebear(const std::string& id);
+  void StartAnew(const std::string& id);
   /// Takes the call that promotes; the HTTP status of the answer.
   int Promote(const std::string& id, uint64_t token);
   void Register();
--- a/testsuite/support/session/fake_cluster.h
+++ b/testsuite/support/session/fake_cluster.h
@@ -182,7 +182,7 @@
   }
   void Restart(const std::string& id) { databases_.at(id).up = true; }
   /// Starts it again under its id, with nothing of what it held and knew.
-  void Rebear(const std::string& id) {
+  void StartAnew(const std::string& id) {
     Crash(id);
     FakeDatabase& database = databases_.at(id);
     database.log.clear();
