A database that has started anew counts as not asked, not as holding nothing

What was known of a database that started anew was set to nothing, but its status counted as just asked, so the choice of a successor did not wait for its real one. Change: its status counts as never asked, and answers to earlier questions are those of the old process. Test: ForgetsWhatARebornReplicaHadReceived asks for it and failed before.

--- a/src/libcore/session/proxy_leadership.cc
+++ b/src/libcore/session/proxy_leadership.cc
@@ -148,6 +148,7 @@
                                 DatabaseState* database, TimePoint asked,
                                 const StatusReport& report) {
   if (asked < database->status_from) return;
+  if (asked < database->status_not_before) return;
   database->status = report;
   database->status_from = asked;
   const std::string& id = database->info.id;
--- a/src/libcore/session/proxy_pool.cc
+++ b/src/libcore/session/proxy_pool.cc
@@ -158,7 +158,10 @@
       .Add("had_applied", database->known.index);
   database->known = LogPosition();
   database->status = StatusReport();
-  database->status_from = now;
+  // Not known, rather than known to be nothing: a choice of successor waits for
+  // the status of a database that has not told it.
+  database->status_from = TimePoint();
+  database->status_not_before = now;
   database->lag = LagEstimate();
   Group* group = EnsureGroup(database->info.group);
   group->proof.Forget(database->info.id);
--- a/src/libcore/session/state.h
+++ b/src/libcore/session/state.h
@@ -200,6 +200,8 @@
   TimePoint status_asked;
   /// When the status that is known was asked for; a later one may be pending.
   TimePoint status_from;
+  /// Answers to earlier questions are those of a process that has ended.
+  TimePoint status_not_before;
   bool status_pending = false;
   /// It was to be asked for its status and had no connection free.
   bool status_wanted = false;
--- a/testsuite/session_proxy/proxy_test.cc
+++ b/testsuite/session_proxy/proxy_test.cc
@@ -102,6 +102,8 @@
     if (database.id != "db-b") continue;
     EXPECT_EQ(database.status.received, LogPosition());
     EXPECT_EQ(database.applied, LogPosition());
+    // Unknown is not nothing: a choice of successor has to wait for its answer.
+    EXPECT_EQ(database.status_asked, TimePoint());
   }
   Run(300);
   EXPECT_EQ(Write(0, 1), ErrorCode::kInDoubt);
