--- a/src/include/ryefold/core/session/leadership_proof.h
+++ b/src/include/ryefold/core/session/leadership_proof.h
@@ -20,7 +20,7 @@
 //   frozen or slow instance           the same: answers count from the question
 //   primary cut off from the others   its reads wait, then are refused
 //   promotion nobody has heard of     a witness tells the newer term
-//   reborn database                   knows a lower term, so is no witness
+//   database started anew             knows a lower term, so is no witness
 
 #include <cstddef>
 #include <cstdint>
--- a/src/libcore/session/proxy_confirming.cc
+++ b/src/libcore/session/proxy_confirming.cc
@@ -159,8 +159,7 @@
             [&cost](const std::string& a, const std::string& b) {
               return cost(a) < cost(b);
             });
-  size_t wanted = WitnessesNeeded(group->databases.size(),
-                                  settings_.confirmation->copies());
+  size_t wanted = Witnesses(*group, group->databases.size() - 1);
   if (LongUnsettled(now, *group)) wanted = replicas.size();
   for (const std::string& id : replicas) {
     DatabaseState* database = FindDatabase(id);
--- a/src/libcore/session/proxy_impl.h
+++ b/src/libcore/session/proxy_impl.h
@@ -189,6 +189,7 @@
   void RefuseHeld(TimePoint now, Request* request, ErrorCode error);
 
   // Proving that a primary led (proxy_proving.cc).
+  size_t Witnesses(const Group& group, size_t others) const;
   TimePoint ProvedUntil(const Group& group) const;
   void WantProof(TimePoint now, Group* group, TimePoint since);
   bool ProofWanted(const Group& group) const;
--- a/src/libcore/session/proxy_proving.cc
+++ b/src/libcore/session/proxy_proving.cc
@@ -21,19 +21,21 @@
 
 }  // namespace
 
+/// How many of the `others` prove the lead of a primary beside them.
+size_t Proxy::Impl::Witnesses(const Group& group, size_t others) const {
+  // Databases that confirm commits themselves acknowledge none without a copy.
+  const size_t least = group.limits.confirms_commits ? 2 : 1;
+  return WitnessesNeeded(others + 1,
+                         std::max(settings_.confirmation->copies(), least));
+}
+
 /// Up to which moment the group's primary is proved to have led.
 TimePoint Proxy::Impl::ProvedUntil(const Group& group) const {
   std::vector<std::string> others;
   for (const std::string& id : group.databases) {
     if (id != group.proof.leader()) others.push_back(id);
   }
-  // Databases that confirm commits themselves acknowledge none without a copy.
-  const size_t copies =
-      group.limits.confirms_commits
-          ? std::max<size_t>(settings_.confirmation->copies(), 2)
-          : settings_.confirmation->copies();
-  return group.proof.ProvedUntil(others,
-                                 WitnessesNeeded(others.size() + 1, copies));
+  return group.proof.ProvedUntil(others, Witnesses(group, others.size()));
 }
 
 bool Proxy::Impl::ProofWanted(const Group& group) const {
