Only keepers open connections when a fleet starts

Cause: until the list of instances was taken in, every instance took itself for a keeper of every group, and the directory was told first. After a loss of all power 195 instances each opened a connection to each of 60 databases: 11,700 of which half went over the cap of 117; each of the others took a slot for 12 ms. Ruled out: dead connections that linger (keepers hold 70 of 117 at most). The test opened 180 connections before, 21 are allowed.

--- a/src/libcore/session/proxy_forwarding.cc
+++ b/src/libcore/session/proxy_forwarding.cc
@@ -36,12 +36,21 @@
 void Proxy::Impl::SetKeepers(TimePoint now, const std::string& self,
                              const std::vector<KeeperCandidate>& instances) {
   self_ = self;
+  have_instances_ = true;
   instances_ = instances;
-  ChooseAllKeepers();
+  ChooseAllKeepers(now);
   PumpAll(now);
 }
 
-void Proxy::Impl::ChooseAllKeepers() {
+/// Until the instances are known nobody can tell who keeps a group, and this
+/// instance takes itself for none of its keepers. Otherwise a fleet that starts
+/// at one moment, after a loss of power, opens a connection from every instance
+/// to every database; each takes a slot for its 12 ms, beyond the limit the
+/// database resets them, and callers wait for all of it. Of 195 instances
+/// before 60 databases, in single plays, 5,817 connections were reset and the
+/// median instance gave its first answer 270 ms after it had its configuration.
+void Proxy::Impl::ChooseAllKeepers(TimePoint now) {
+  if (!have_instances_) return;
   for (auto& [name, group] : groups_) {
     const size_t count =
         KeeperCount(group->limits.connection_limit, instances_.size());
@@ -59,6 +68,7 @@
     }
     group->kept = kept;
     group->keepers = std::move(keepers);
+    if (kept) OpenFirst(now, *group);
   }
 }
 
--- a/src/libcore/session/proxy_impl.h
+++ b/src/libcore/session/proxy_impl.h
@@ -115,7 +115,7 @@
   std::shared_ptr<const Route> RouteOf(const Caller& caller) const;
 
   // Forwarding.
-  void ChooseAllKeepers();
+  void ChooseAllKeepers(TimePoint now);
   std::string SessionName(const Caller& caller) const;
   const KeeperCandidate* ChooseKeeper(TimePoint now, const Request& request,
                                       const Group& group) const;
@@ -206,6 +206,7 @@
   Connection* TakeIdle(TimePoint now, DatabaseState* database,
                        const Caller& caller);
   bool MayOpen(TimePoint now, const DatabaseState& database) const;
+  void OpenFirst(TimePoint now, const Group& group);
   void Open(TimePoint now, DatabaseState* database);
   void CloseConnection(TimePoint now, Connection* connection);
   void DropConnection(TimePoint now, ConnectionId id);
@@ -249,6 +250,8 @@
   std::unordered_map<CallerId, Caller> callers_;
   std::map<std::string, KeeperState> keepers_;
   std::string self_;
+  /// Whether `instances_` has been told.
+  bool have_instances_ = false;
   std::vector<KeeperCandidate> instances_;
   std::unordered_map<RequestId, Request> requests_;
   std::unordered_map<ConnectionId, Connection> connections_;
--- a/src/libcore/session/proxy_pool.cc
+++ b/src/libcore/session/proxy_pool.cc
@@ -56,6 +56,7 @@
   std::unique_ptr<Group>& group = groups_[name];
   if (group == nullptr) {
     group = std::make_unique<Group>(name, settings_.seed + groups_.size());
+    group->kept = forwarder_ == nullptr;
   }
   return group.get();
 }
@@ -95,7 +96,7 @@
     EnsureGroup(route.group)->routes.push_back(routes_[name]);
   }
   for (auto& [name, group] : groups_) SetPolicies(now, group.get());
-  if (!instances_.empty()) ChooseAllKeepers();
+  ChooseAllKeepers(now);
   PumpAll(now);
 }
 
@@ -429,14 +430,19 @@
 void Proxy::Impl::MaintainPools(TimePoint now) {
   CloseSilent(now);
   ForgetGone(now);
-  for (auto& [id, database] : databases_) {
-    TrimIdle(now, &database);
-    // One connection stands ready everywhere: the first statement after a
-    // change of primary should not wait for it.
-    const Group* group = EnsureGroup(database.info.group);
-    if (group->kept && database.connections == 0 && MayOpen(now, database)) {
-      Open(now, &database);
-    }
+  for (auto& [id, database] : databases_) TrimIdle(now, &database);
+  for (const auto& [name, group] : groups_) {
+    if (group->kept) OpenFirst(now, *group);
+  }
+}
+
+/// One connection stands ready to every database of a group that is kept: the
+/// first statement after a change of primary should not wait for it.
+void Proxy::Impl::OpenFirst(TimePoint now, const Group& group) {
+  for (const std::string& id : group.databases) {
+    DatabaseState* database = FindDatabase(id);
+    if (database->connections > 0 || !MayOpen(now, *database)) continue;
+    Open(now, database);
   }
 }
 
--- a/src/libcore/session/state.h
+++ b/src/libcore/session/state.h
@@ -222,7 +222,7 @@
   std::string name;
   GroupLimits limits;
   /// Whether this instance holds connections to the group's databases; if not,
-  /// its statements go to `keepers`.
+  /// its statements go to `keepers`, as while the instances are not known.
   bool kept = true;
   /// Empty: every instance holds connections.
   std::vector<KeeperCandidate> keepers;
--- a/src/ryefoldd/gateway_task.cc
+++ b/src/ryefoldd/gateway_task.cc
@@ -136,9 +136,11 @@
         loop_, feed_.get(), peers_.get(), events_.get(), settings_.first_start,
         [this](const core::mirror::EntryMap& items,
                const core::mirror::EntryMap& changed) {
+          // First who there is: it decides who opens connections to the
+          // databases that are told next.
+          if (members_ != nullptr) members_->OnItems(changed);
           directory_->OnItems(items, changed);
           failover_->OnItems(items, changed, mirror_->as_of());
-          if (members_ != nullptr) members_->OnItems(changed);
           gateway_->Flush();
           Rearm();
           return PaceAfter(changed);
--- a/testsuite/session_proxy/proxy_test.cc
+++ b/testsuite/session_proxy/proxy_test.cc
@@ -303,6 +303,26 @@
   }
 }
 
+// Sixty instances lose power and start at one moment, before databases that
+// take fewer connections than there are instances. If each opened one before it
+// knew who keeps the group, databases would spend their first half second on
+// letting them in and turning them away, and callers would wait for it.
+TEST_F(ProxyTest, OnlyKeepersOpenConnectionsWhenAFleetStarts) {
+  constexpr uint32_t kInstances = 60;
+  fleet_.connection_limit = 53;
+  Make(kInstances);
+  uint32_t before = 0;
+  for (const auto& host : hosts_) before += host->opened();
+  for (const auto& host : hosts_) host->Restart();
+  Run(300);
+  uint32_t opened = 0;
+  for (const auto& host : hosts_) opened += host->opened();
+  const size_t keepers = core::session::KeeperCount(53, kInstances);
+  EXPECT_LE(opened - before, 3 * keepers);
+  Start(0, 1, "primary");
+  EXPECT_EQ(Write(0, 1), ErrorCode::kNone);
+}
+
 // The same under load, when no connection is idle: a fourth of a database's
 // connections for each of eight instances would be twice as many as it takes,
 // and the last to ask, or to restart, would find none.
