A statement leaves for a keeper that has shown that it lives

Cause: an instance learnt of a lost or cut-off keeper by a statement that waited for its whole goal, and again for each other keeper; a write was in doubt. An instance cut off from all others did so with each statement and stayed ready. Ruled out: the databases (they answered), queueing (no refusals). A keeper without databases sends the statement on.

--- a/src/include/ryefold/core/session/forwarding.h
+++ b/src/include/ryefold/core/session/forwarding.h
@@ -50,16 +50,30 @@
   kLost,     ///< It may have.
 };
 
+/// How long a forwarded statement is waited for.
+struct ForwardTerms {
+  TimePoint deadline;
+  /// It goes out once the keeper has shown that it lives, or is given up as not
+  /// sent at this time: what has not left can run elsewhere.
+  TimePoint alive_by;
+  /// Given up as lost when the keeper falls silent. Not so for what may have
+  /// had an effect, whose answer is worth waiting for.
+  bool lost_in_silence = false;
+};
+
 /// Streams between instances. No call may lead to an event being delivered
 /// before it returns.
 class Forwarder {
  public:
   virtual ~Forwarder() = default;
 
-  /// Leads to `Proxy::ForwardAnswered`, at the latest at `deadline`.
+  /// Leads to `Proxy::ForwardAnswered`, at the latest at `terms.deadline`.
   virtual void Forward(ForwardId call, const std::string& keeper,
                        const ForwardedStatement& statement,
-                       TimePoint deadline) = 0;
+                       const ForwardTerms& terms) = 0;
+  /// Asks an instance for a sign of life. Leads to `Proxy::InstanceProbed`, at
+  /// the latest at `deadline`.
+  virtual void Probe(const std::string& instance, TimePoint deadline) = 0;
   /// The answer is not wanted any more; the keeper gives the statement up.
   virtual void Cancel(ForwardId call) = 0;
   /// Rolls back what the session has open at the keeper. Best effort: a
--- a/src/include/ryefold/core/session/proxy.h
+++ b/src/include/ryefold/core/session/proxy.h
@@ -119,6 +119,8 @@
                     const std::vector<KeeperCandidate>& instances);
   void ForwardAnswered(TimePoint now, ForwardId call, ForwardOutcome outcome,
                        Reply reply);
+  /// What came of `Forwarder::Probe`.
+  void InstanceProbed(TimePoint now, const std::string& instance, bool alive);
   /// Runs a statement forwarded by another instance; `Forwarder` is given the
   /// answer. The caller ends, for one that was answered outside of a
   /// transaction, with `CallerGone`.
@@ -140,7 +142,8 @@
   void Tick(TimePoint now);
   TimePoint next_deadline() const;
 
-  /// Whether routes and databases are known, so that callers can be served.
+  /// Whether callers can be served: routes and databases are known, and this
+  /// instance is not cut off from all others.
   bool ready() const;
   /// Whether a configured group has no database at all.
   bool LacksDatabases() const;
--- a/src/include/ryefold/task/clock.h
+++ b/src/include/ryefold/task/clock.h
@@ -12,4 +12,9 @@
 /// with others of this function.
 std::chrono::steady_clock::time_point BootTime();
 
+/// A time of `BootTime` on the steady clock, which sockets and timers go by: as
+/// far ahead as it is now.
+std::chrono::steady_clock::time_point OnSteadyClock(
+    std::chrono::steady_clock::time_point boot_time);
+
 }  // namespace ryefold::task
--- a/src/include/ryefold/wire/peer.h
+++ b/src/include/ryefold/wire/peer.h
@@ -68,6 +68,18 @@
   std::string body;
 };
 
+/// How long a call is waited for, and what silence of the peer does to it.
+struct CallTerms {
+  /// The stream is reset then and reported as lost (or not sent).
+  core::TimePoint deadline;
+  /// If set, the call is held back until the peer has shown that it lives, and
+  /// given up as not sent at this time. A peer that has lost power or is
+  /// partitioned then costs its callers this long and leaves nothing in doubt.
+  core::TimePoint alive_by;
+  /// Given up as lost soon after the peer has fallen silent.
+  bool lost_in_silence = false;
+};
+
 /// Client side of one pair. Connects on the first call, reconnects on the next
 /// call after a loss. Calls waiting for the connection count as not sent.
 class PeerClient {
@@ -79,8 +91,9 @@
   PeerClient(const PeerClient&) = delete;
   PeerClient& operator=(const PeerClient&) = delete;
 
-  /// After `deadline` the stream is reset and reported as lost (or not sent).
   /// Returns an id for `Cancel`.
+  uint64_t Call(const std::string& path, std::string body,
+                const CallTerms& terms, Done done);
   uint64_t Call(const std::string& path, std::string body,
                 core::TimePoint deadline, Done done);
   /// Resets the stream; `done` is not called any more.
--- a/src/include/ryefold/wire/session_codec.h
+++ b/src/include/ryefold/wire/session_codec.h
@@ -14,6 +14,8 @@
 constexpr std::string_view kPeerSessionStatement = "/peer/session/statement";
 /// The body is the session's name.
 constexpr std::string_view kPeerSessionRelease = "/peer/session/release";
+/// Has neither body nor answer: a sign of life.
+constexpr std::string_view kPeerSessionAlive = "/peer/session/alive";
 
 std::string WriteForwarded(const core::session::ForwardedStatement& statement);
 std::optional<core::session::ForwardedStatement> ReadForwarded(
--- a/src/libcore/session/proxy.cc
+++ b/src/libcore/session/proxy.cc
@@ -43,6 +43,7 @@
   if (now < maintain_at_) return;
   maintain_at_ = now + kMaintenance;
   EndIdleTransactions(now);
+  MaintainTouch(now);
   MaintainPools(now);
   for (auto& [name, group] : groups_) {
     MaintainLeadership(now, group.get());
@@ -57,7 +58,9 @@
   return std::min(maintain_at_, timers_.begin()->first);
 }
 
-bool Proxy::Impl::ready() const { return have_routes_ && have_roster_; }
+bool Proxy::Impl::ready() const {
+  return have_routes_ && have_roster_ && !isolation_.cut_off();
+}
 
 bool Proxy::Impl::LacksDatabases() const {
   return std::any_of(groups_.begin(), groups_.end(), [](const auto& entry) {
@@ -174,6 +177,10 @@
                             ForwardOutcome outcome, Reply reply) {
   impl_->ForwardAnswered(now, call, outcome, std::move(reply));
 }
+void Proxy::InstanceProbed(TimePoint now, const std::string& instance,
+                           bool alive) {
+  impl_->InstanceProbed(now, instance, alive);
+}
 void Proxy::AdoptStatement(TimePoint now, CallerId caller,
                            ForwardedStatement statement) {
   impl_->AdoptStatement(now, caller, std::move(statement));
--- a/src/libcore/session/proxy_forwarding.cc
+++ b/src/libcore/session/proxy_forwarding.cc
@@ -11,10 +11,23 @@
 
 using std::chrono::milliseconds;
 
-/// How long a keeper that did not answer is passed over.
-constexpr milliseconds kSuspicion{2000};
+/// How long a keeper that did not answer is passed over. Trying it again costs
+/// one statement `kAliveTime`.
+constexpr milliseconds kSuspicion{1000};
 /// Keepers tried for one statement.
 constexpr uint32_t kMaxForwards = 4;
+/// Time that a keeper has for a sign of life before a statement goes to it; the
+/// statement then goes to another. Half of a fleet lost power for 1.5 s: each
+/// statement for one of the lost keepers waited until its goal, and was in
+/// doubt if it was a write. A sign of life takes one round trip, 2 ms at most;
+/// a process under a processor quota can stand still for nearly a tenth of a
+/// second, and is then no worse off for being passed over.
+constexpr milliseconds kAliveTime{60};
+/// The same for a statement of a transaction, which only this keeper can run.
+constexpr milliseconds kBoundAliveTime{300};
+/// Time for the answer to a probe: two silent keepers may be tried one after
+/// the other until the probes have told which of the rest live.
+constexpr milliseconds kProbeTime{100};
 /// The keeper answers when the route's time is over; this much later it is
 /// taken to have failed.
 constexpr milliseconds kAnswerReserve{150};
@@ -30,6 +43,9 @@
 constexpr milliseconds kNoPrimaryThere{400};
 /// Retry hint when no keeper could be reached.
 constexpr milliseconds kNoKeeperRetry{200};
+/// Retry hint while this instance reaches no other. Callers that come back go
+/// elsewhere; the hint is for those whose balancer has no other.
+constexpr milliseconds kCutOffRetry{500};
 
 }  // namespace
 
@@ -38,10 +54,62 @@
   self_ = self;
   have_instances_ = true;
   instances_ = instances;
+  std::vector<std::string> others;
+  for (const KeeperCandidate& each : instances_) {
+    if (each.instance != self_) others.push_back(each.instance);
+  }
+  // Instances of one name follow each other; neighbours fail together.
+  std::shuffle(others.begin(), others.end(), std::mt19937_64(settings_.seed));
+  isolation_.SetOthers(std::move(others));
   ChooseAllKeepers(now);
   PumpAll(now);
 }
 
+void Proxy::Impl::InstanceProbed(TimePoint now, const std::string& instance,
+                                 bool alive) {
+  if (alive) {
+    InstanceHeard(now);
+    return;
+  }
+  keepers_[instance].suspect_until = now + kSuspicion;
+  InstanceSilent(now, instance);
+}
+
+void Proxy::Impl::InstanceHeard(TimePoint now) {
+  const TimePoint before = isolation_.heard_at();
+  if (!isolation_.Heard(now)) return;
+  Event(events_, EventWeight::kState, "in_touch").Add("after", now - before);
+  // The silences were this instance's own.
+  for (auto& [name, keeper] : keepers_) keeper.suspect_until = TimePoint();
+}
+
+void Proxy::Impl::InstanceSilent(TimePoint now, const std::string& instance) {
+  if (!isolation_.Silent(instance)) return;
+  Event(events_, EventWeight::kState, "cut_off")
+      .Add("silent", isolation_.silent())
+      .Add("instances", instances_.size())
+      .Add("last_heard", now - isolation_.heard_at());
+}
+
+/// One keeper of the group keeps silent. Whatever took it may have taken others
+/// too; they are asked at once, or the next statements would find out one by
+/// one.
+void Proxy::Impl::ProbeKeepers(TimePoint now, const Group& group) {
+  for (const KeeperCandidate& keeper : group.keepers) {
+    if (keeper.instance == self_) continue;
+    const auto state = keepers_.find(keeper.instance);
+    if (state != keepers_.end() && now < state->second.suspect_until) continue;
+    forwarder_->Probe(keeper.instance, now + kProbeTime);
+  }
+}
+
+void Proxy::Impl::MaintainTouch(TimePoint now) {
+  if (forwarder_ == nullptr) return;
+  for (const std::string& instance : isolation_.ProbesDue(now)) {
+    forwarder_->Probe(instance, now + kProbeTime);
+  }
+}
+
 /// Until the instances are known nobody can tell who keeps a group, and this
 /// instance takes itself for none of its keepers. Otherwise a fleet that starts
 /// at one moment, after a loss of power, opens a connection from every instance
@@ -86,6 +154,10 @@
   const size_t count = group.keepers.size();
   for (size_t i = 0; i < count; ++i) {
     const KeeperCandidate& keeper = group.keepers[(i + request.caller) % count];
+    const auto& refused = request.turned_down;
+    if (std::count(refused.begin(), refused.end(), keeper.instance) > 0) {
+      continue;
+    }
     const auto state = keepers_.find(keeper.instance);
     uint32_t cost = 0;
     if (state != keepers_.end()) {
@@ -125,6 +197,7 @@
   Group* group = GroupOf(*request);
   if (group == nullptr || group->kept) return false;
   keepers_[keeper].no_primary_until[group->name] = now + kNoPrimaryThere;
+  request->turned_down.push_back(keeper);
   Dispatch(now, request);
   return true;
 }
@@ -180,6 +253,10 @@
 
 void Proxy::Impl::ForwardToAny(TimePoint now, Request* request,
                                const Group& group) {
+  if (isolation_.cut_off()) {
+    Refuse(now, request, ErrorCode::kBusy, kCutOffRetry, "cut_off");
+    return;
+  }
   const KeeperCandidate* keeper = ChooseKeeper(now, *request, group);
   if (keeper == nullptr || request->attempts >= kMaxForwards) {
     const bool refused = request->last_error == ErrorCode::kReadOnly;
@@ -209,13 +286,18 @@
   request->database = keeper;
   request->sent = now;
   ++keepers_[keeper].under_way;
-  const bool once = request->writes || forwarded.in_transaction;
+  const bool bound = forwarded.in_transaction;
+  const bool once = request->writes || bound;
   const TimePoint last = request->timeout_at + kAnswerReserve;
+  ForwardTerms terms;
   // What may be sent again is sent elsewhere once its goal is missed.
-  const TimePoint deadline =
-      once || now >= request->goal_at ? last : request->goal_at;
+  terms.deadline = once || now >= request->goal_at ? last : request->goal_at;
+  terms.alive_by = now + (bound ? kBoundAliveTime : kAliveTime);
+  const bool commit = request->statement.kind == StatementKind::kCommit;
+  const bool takes_effect = commit || (request->writes && !bound);
+  terms.lost_in_silence = !takes_effect;
   SetTimer(request, last + kAnswerReserve);
-  forwarder_->Forward(request->id, keeper, forwarded, deadline);
+  forwarder_->Forward(request->id, keeper, forwarded, terms);
 }
 
 void Proxy::Impl::ForwardAnswered(TimePoint now, ForwardId call,
@@ -227,17 +309,22 @@
   if (state.under_way > 0) --state.under_way;
   Caller* caller = FindCaller(request->caller);
   if (outcome == ForwardOutcome::kAnswered) {
+    InstanceHeard(now);
     TakeForwardedReply(now, request, caller, keeper, std::move(reply));
     return;
   }
   // Many statements can be under way to it; one line tells of the belief.
   if (now >= state.suspect_until) {
+    state.suspect_until = now + kSuspicion;
+    const Group* group = GroupOf(*request);
+    if (group != nullptr) ProbeKeepers(now, *group);
     Event(events_, EventWeight::kState, "keeper_lost")
         .Add("keeper", keeper)
         .Add("request", request->statement_id)
         .Add("sent", outcome == ForwardOutcome::kLost ? "yes" : "no");
   }
   state.suspect_until = now + kSuspicion;
+  InstanceSilent(now, keeper);
   const bool sent = outcome == ForwardOutcome::kLost;
   if (request->need == Need::kTransaction) {
     caller->transaction.keeper.clear();
--- a/src/libcore/session/proxy_impl.h
+++ b/src/libcore/session/proxy_impl.h
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "ryefold/core/session/isolation.h"
 #include "ryefold/core/session/proxy.h"
 #include "state.h"
 
@@ -38,6 +39,7 @@
   void ForwardAnswered(TimePoint now, ForwardId call, ForwardOutcome outcome,
                        Reply reply);
   void AdoptStatement(TimePoint now, CallerId id, ForwardedStatement forwarded);
+  void InstanceProbed(TimePoint now, const std::string& instance, bool alive);
 
   // proxy_placing.cc: where statements go.
   void Dispatch(TimePoint now, Request* request);
@@ -115,6 +117,10 @@
   std::shared_ptr<const Route> RouteOf(const Caller& caller) const;
 
   // Forwarding.
+  void InstanceHeard(TimePoint now);
+  void InstanceSilent(TimePoint now, const std::string& instance);
+  void ProbeKeepers(TimePoint now, const Group& group);
+  void MaintainTouch(TimePoint now);
   void ChooseAllKeepers(TimePoint now);
   std::string SessionName(const Caller& caller) const;
   const KeeperCandidate* ChooseKeeper(TimePoint now, const Request& request,
@@ -253,6 +259,7 @@
   /// Whether `instances_` has been told.
   bool have_instances_ = false;
   std::vector<KeeperCandidate> instances_;
+  Isolation isolation_;
   std::unordered_map<RequestId, Request> requests_;
   std::unordered_map<ConnectionId, Connection> connections_;
   std::set<std::pair<TimePoint, RequestId>> timers_;
--- a/src/libcore/session/proxy_placing.cc
+++ b/src/libcore/session/proxy_placing.cc
@@ -78,16 +78,16 @@
     ForwardToAny(now, request, *group);
     return;
   }
+  // Whoever has forwarded it may know of another instance that gets further.
+  const ErrorCode no_primary = callers_.at(request->caller).adopted
+                                   ? ErrorCode::kReadOnly
+                                   : ErrorCode::kBusy;
   if (group == nullptr || group->databases.empty()) {
-    Refuse(now, request, ErrorCode::kBusy, kNoDatabaseRetry, "no_database");
+    Refuse(now, request, no_primary, kNoDatabaseRetry, "no_database");
     return;
   }
   group->used_at = now;
   if (request->attempts == 0) group->demand.Arrived(now, request->route->name);
-  // Whoever has forwarded it may know of another instance that gets further.
-  const ErrorCode no_primary = callers_.at(request->caller).adopted
-                                   ? ErrorCode::kReadOnly
-                                   : ErrorCode::kBusy;
   if (request->writes && WritesHeld(*request)) {
     RefuseHeld(now, request, no_primary);
     return;
--- a/src/libwire/http2_link.cc
+++ b/src/libwire/http2_link.cc
@@ -253,6 +253,7 @@
 
 void Http2Link::Read() {
   evbuffer* input = bufferevent_get_input(bev_);
+  OnHeard();
   while (size_t size = evbuffer_get_contiguous_space(input)) {
     const uint8_t* data = evbuffer_pullup(input, static_cast<ev_ssize_t>(size));
     bytes_received_ += size;
@@ -262,6 +263,11 @@
   FlushSoon();
 }
 
+void Http2Link::Ping() {
+  nghttp2_submit_ping(session_, NGHTTP2_FLAG_NONE, nullptr);
+  FlushSoon();
+}
+
 void Http2Link::FlushSoon() {
   if (!up_ || down_ || flushing_) return;
   flushing_ = true;
--- a/src/libwire/http2_link.h
+++ b/src/libwire/http2_link.h
@@ -50,6 +50,10 @@
   /// Writes what the session has to send, once in this turn of the loop.
   void FlushSoon();
 
+  /// Asks the other side for a sign of life: its process answers without
+  /// looking at any call (`OnHeard`). 17 bytes each way.
+  void Ping();
+
   nghttp2_session* session() const { return session_; }
   uint64_t bytes_sent() const { return bytes_sent_; }
   uint64_t bytes_received() const { return bytes_received_; }
@@ -61,7 +65,10 @@
   virtual void OnUp() {}
   /// The connection is gone or speaks no sense. No hook comes after this.
   virtual void OnDown() = 0;
-  /// The other side's settings arrived, so its process is running.
+  /// Bytes arrived, so the process on the other side is running. Called outside
+  /// of nghttp2.
+  virtual void OnHeard() {}
+  /// The other side's settings arrived.
   virtual void OnSettings() {}
   virtual void OnGoaway() {}
   virtual void OnBegin(int32_t /*stream*/) {}
--- a/src/libwire/peer_client.cc
+++ b/src/libwire/peer_client.cc
@@ -25,6 +25,15 @@
 /// cost one attempt for many calls, not one for each.
 constexpr milliseconds kFirstBackoff{20};
 constexpr milliseconds kLongestBackoff{500};
+/// A peer heard this recently lives: a call may go out at once. Longer than the
+/// pauses between calls of a busy pair, so that these need no ping.
+constexpr milliseconds kFresh{200};
+/// A call unanswered for this long is followed by a ping if nothing at all has
+/// come since. Most statements are answered sooner.
+constexpr milliseconds kQuiet{150};
+/// Time for the answer to a ping beside calls. A process under a processor
+/// quota can stand still for a tenth of a second.
+constexpr milliseconds kPingTime{150};
 
 }  // namespace
 
@@ -34,8 +43,14 @@
   uint64_t id = 0;
   std::string path;
   OutgoingBody body;
+  CallTerms terms;
+  /// When it is given up: first while it is held back, then while it waits for
+  /// its answer. The key in the set of deadlines.
   core::TimePoint deadline;
+  /// When its peer's silence is looked at next; the key in the set of watches.
+  core::TimePoint watch_at;
   PeerClientLink* link = nullptr;
+  /// 0 while it is held back.
   int32_t stream = 0;
   /// Written whole. The peer acts on nothing less.
   bool sent = false;
@@ -53,12 +68,19 @@
 
   void Submit(std::unique_ptr<OutgoingCall> call);
   void Reset(OutgoingCall* call);
+  /// Asks for a sign of life unless that is under way already.
+  void Probe(core::TimePoint now);
   bool up() const { return stands_; }
   bool idle() const { return calls_.empty(); }
+  /// When bytes last arrived; epoch if never.
+  core::TimePoint heard_at() const { return heard_at_; }
+  /// Since when a ping is unanswered; epoch when none is.
+  core::TimePoint probed_at() const { return probed_at_; }
 
  private:
   void OnDown() override;
   void OnUp() override { stands_ = true; }
+  void OnHeard() override;
   void OnSettings() override;
   void OnGoaway() override;
   void OnData(int32_t stream, std::string_view data) override;
@@ -72,6 +94,8 @@
 
   PeerClient::Impl* client_;
   bool stands_ = false;
+  core::TimePoint heard_at_;
+  core::TimePoint probed_at_;
   std::unordered_map<int32_t, std::unique_ptr<OutgoingCall>> calls_;
 };
 
@@ -90,6 +114,7 @@
     if (deliver_ == nullptr) return;
     event_free(std::exchange(deliver_, nullptr));
     event_free(std::exchange(timer_, nullptr));
+    held_.clear();
     current_.reset();
     draining_.clear();
     ended_.clear();
@@ -97,7 +122,7 @@
   }
 
   uint64_t Call(const std::string& path, std::string body,
-                core::TimePoint deadline, Done done) {
+                const CallTerms& terms, Done done) {
     const uint64_t id = ++last_id_;
     dones_[id] = std::move(done);
     if (!EnsureLink()) {
@@ -108,11 +133,18 @@
     call->id = id;
     call->path = path;
     call->body.text = std::move(body);
-    call->deadline = deadline;
+    call->terms = terms;
     calls_[id] = call.get();
-    deadlines_.emplace(deadline, id);
-    Arm(deadline);
-    current_->Submit(std::move(call));
+    const core::TimePoint now = Clock::now();
+    const bool held = terms.alive_by != core::TimePoint() &&
+                      now - current_->heard_at() > kFresh;
+    if (held) {
+      SetDeadline(call.get(), terms.alive_by);
+      held_.push_back(std::move(call));
+      current_->Probe(now);
+    } else {
+      Send(now, std::move(call));
+    }
     return id;
   }
 
@@ -142,9 +174,19 @@
 
   void Alive() { backoff_ = kFirstBackoff; }
 
+  /// What was held back goes out.
+  void Heard(PeerClientLink* link) {
+    if (current_.get() != link || held_.empty()) return;
+    const core::TimePoint now = Clock::now();
+    std::vector<std::unique_ptr<OutgoingCall>> held;
+    held.swap(held_);
+    for (auto& call : held) Send(now, std::move(call));
+  }
+
   /// Takes no more calls; those open go on.
   void Drain(PeerClientLink* link) {
     if (current_.get() != link) return;
+    FailHeld();
     draining_.push_back(std::move(current_));
     if (link->idle()) Ended(link);
   }
@@ -155,6 +197,7 @@
 
   void Lost(PeerClientLink* link) {
     if (!link->up()) BackOff();
+    if (current_.get() == link) FailHeld();
     Ended(link);
   }
 
@@ -180,6 +223,36 @@
     return true;
   }
 
+  void Send(core::TimePoint now, std::unique_ptr<OutgoingCall> call) {
+    if (current_ == nullptr) {  // ended by the call before this one
+      Settle(call.get(), CallStatus::kNotSent);
+      return;
+    }
+    SetDeadline(call.get(), call->terms.deadline);
+    if (call->terms.lost_in_silence) Watch(call.get(), now + kQuiet);
+    current_->Submit(std::move(call));
+  }
+
+  void FailHeld() {
+    std::vector<std::unique_ptr<OutgoingCall>> held;
+    held.swap(held_);
+    for (const auto& call : held) Settle(call.get(), CallStatus::kNotSent);
+  }
+
+  void SetDeadline(OutgoingCall* call, core::TimePoint when) {
+    deadlines_.erase({call->deadline, call->id});
+    call->deadline = when;
+    deadlines_.emplace(when, call->id);
+    Arm(when);
+  }
+
+  void Watch(OutgoingCall* call, core::TimePoint when) {
+    watches_.erase({call->watch_at, call->id});
+    call->watch_at = when;
+    watches_.emplace(when, call->id);
+    Arm(when);
+  }
+
   void BackOff() {
     retry_at_ = Clock::now() + backoff_;
     backoff_ = std::min(backoff_ * 2, kLongestBackoff);
@@ -212,11 +285,48 @@
     call->settled = true;
     calls_.erase(call->id);
     deadlines_.erase({call->deadline, call->id});
+    watches_.erase({call->watch_at, call->id});
   }
 
   void GiveUp(OutgoingCall* call) {
     Forget(call);
-    call->link->Reset(call);
+    if (call->stream != 0) {
+      call->link->Reset(call);
+      return;
+    }
+    std::erase_if(held_,
+                  [call](const auto& held) { return held.get() == call; });
+  }
+
+  /// The peer of this link keeps silent. Calls that may have had an effect go
+  /// on waiting there for an answer, the next ones try a new connection: one
+  /// can go silent for good while new ones work.
+  void Silent(PeerClientLink* link) {
+    if (current_.get() != link) return;
+    if (link->up()) {
+      Drain(link);
+    } else {
+      link->Fail();
+    }
+  }
+
+  /// The call waits for its answer and has to be told of silence.
+  void LookAt(core::TimePoint now, OutgoingCall* call) {
+    PeerClientLink* link = call->link;
+    const core::TimePoint quiet_at = link->heard_at() + kQuiet;
+    if (now < quiet_at) {
+      Watch(call, quiet_at);
+    } else if (link->probed_at() == core::TimePoint()) {
+      link->Probe(now);
+      Watch(call, now + kPingTime);
+    } else if (now < link->probed_at() + kPingTime) {
+      Watch(call, link->probed_at() + kPingTime);
+    } else {
+      Finish(call->id,
+             {call->sent ? CallStatus::kLost : CallStatus::kNotSent, {}});
+      GiveUp(call);
+      Silent(link);
+    }
   }
 
   void Ended(PeerClientLink* link) {
@@ -249,15 +359,21 @@
     const core::TimePoint now = Clock::now();
     while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
       OutgoingCall* call = calls_.at(deadlines_.begin()->second);
+      const bool held = call->stream == 0;
       const CallStatus status =
           call->sent ? CallStatus::kLost : CallStatus::kNotSent;
       Finish(call->id, {status, {}});
       GiveUp(call);
+      if (held && current_ != nullptr) Silent(current_.get());
+    }
+    while (!watches_.empty() && watches_.begin()->first <= now) {
+      LookAt(now, calls_.at(watches_.begin()->second));
     }
     const bool connecting = current_ != nullptr && !current_->up();
     if (connecting && connect_by_ <= now) current_->Fail();
     if (current_ != nullptr && !current_->up()) Arm(connect_by_);
     if (!deadlines_.empty()) Arm(deadlines_.begin()->first);
+    if (!watches_.empty()) Arm(watches_.begin()->first);
   }
 
   uint64_t Sum(uint64_t (Http2Link::*count)() const) const {
@@ -281,6 +397,9 @@
   std::unordered_map<uint64_t, Done> dones_;
   std::unordered_map<uint64_t, OutgoingCall*> calls_;
   std::set<std::pair<core::TimePoint, uint64_t>> deadlines_;
+  std::set<std::pair<core::TimePoint, uint64_t>> watches_;
+  /// Calls that wait for a sign of life, in the order of the calls.
+  std::vector<std::unique_ptr<OutgoingCall>> held_;
   std::vector<std::pair<uint64_t, PeerResult>> results_;
   std::unique_ptr<PeerClientLink> current_;
   std::vector<std::unique_ptr<PeerClientLink>> draining_;
@@ -305,6 +424,19 @@
   FlushSoon();
 }
 
+void PeerClientLink::Probe(core::TimePoint now) {
+  // One that does not stand yet shows by its settings that the peer lives.
+  if (!stands_ || probed_at_ != core::TimePoint()) return;
+  probed_at_ = now;
+  Ping();
+}
+
+void PeerClientLink::OnHeard() {
+  heard_at_ = Clock::now();
+  probed_at_ = core::TimePoint();
+  client_->Heard(this);
+}
+
 void PeerClientLink::Reset(OutgoingCall* call) {
   nghttp2_submit_rst_stream(session(), NGHTTP2_FLAG_NONE, call->stream,
                             NGHTTP2_CANCEL);
@@ -372,9 +504,14 @@
     : impl_(std::make_shared<Impl>(base, address)) {}
 PeerClient::~PeerClient() { impl_->Close(); }
 
+uint64_t PeerClient::Call(const std::string& path, std::string body,
+                          const CallTerms& terms, Done done) {
+  return impl_->Call(path, std::move(body), terms, std::move(done));
+}
 uint64_t PeerClient::Call(const std::string& path, std::string body,
                           core::TimePoint deadline, Done done) {
-  return impl_->Call(path, std::move(body), deadline, std::move(done));
+  return Call(path, std::move(body), CallTerms{deadline, {}, false},
+              std::move(done));
 }
 void PeerClient::Cancel(uint64_t call) { impl_->Cancel(call); }
 uint64_t PeerClient::bytes_sent() const { return impl_->bytes_sent(); }
--- a/src/ryefoldd/forwarding_host.cc
+++ b/src/ryefoldd/forwarding_host.cc
@@ -19,6 +19,7 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 using task::BootTime;
+using task::OnSteadyClock;
 
 /// Time for a release to arrive. Lost, the keeper ends the transaction when it
 /// has been idle for its time.
@@ -33,13 +34,15 @@
                 [this](const wire::PeerCall& call) { OnStatement(call); });
   peers_->Serve(wire::kPeerSessionRelease,
                 [this](const wire::PeerCall& call) { OnRelease(call); });
+  peers_->Serve(wire::kPeerSessionAlive,
+                [](const wire::PeerCall& call) { call.Reply(""); });
 }
 
 ForwardingHost::~ForwardingHost() = default;
 
 void ForwardingHost::Forward(ForwardId call, const std::string& keeper,
                              const ForwardedStatement& statement,
-                             core::TimePoint deadline) {
+                             const core::session::ForwardTerms& terms) {
   wire::PeerClient* peer = peers_->To(keeper);
   if (peer == nullptr) {
     loop_->Post([this, call] {
@@ -47,17 +50,38 @@
     });
     return;
   }
-  const auto left = deadline - BootTime();
+  wire::CallTerms call_terms;
+  call_terms.deadline = OnSteadyClock(terms.deadline);
+  call_terms.alive_by = OnSteadyClock(terms.alive_by);
+  call_terms.lost_in_silence = terms.lost_in_silence;
   Sent& sent = sent_[call];
   sent.keeper = keeper;
   sent.stream = peer->Call(
       std::string(wire::kPeerSessionStatement), wire::WriteForwarded(statement),
-      steady_clock::now() + left, [this, call](const wire::PeerResult& result) {
+      call_terms, [this, call](const wire::PeerResult& result) {
         // Never from within `Forward`.
         loop_->Post([this, call, result] { Answered(call, result); });
       });
 }
 
+void ForwardingHost::Probe(const std::string& instance,
+                           core::TimePoint deadline) {
+  wire::PeerClient* peer = peers_->To(instance);
+  if (peer == nullptr) return;
+  wire::CallTerms terms;
+  terms.deadline = OnSteadyClock(deadline);
+  terms.alive_by = terms.deadline;
+  peer->Call(std::string(wire::kPeerSessionAlive), {}, terms,
+             [this, instance](const wire::PeerResult& result) {
+               // Never from within `Probe`.
+               const bool alive = result.status == wire::CallStatus::kOk;
+               loop_->Post([this, instance, alive] {
+                 proxy_->InstanceProbed(BootTime(), instance, alive);
+                 Turn();
+               });
+             });
+}
+
 void ForwardingHost::Answered(ForwardId call, const wire::PeerResult& result) {
   sent_.erase(call);
   ForwardOutcome outcome = ForwardOutcome::kAnswered;
--- a/src/ryefoldd/mirror_host.cc
+++ b/src/ryefoldd/mirror_host.cc
@@ -17,11 +17,7 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 using task::BootTime;
-
-/// Deadlines of the core count suspensions, those of sockets do not.
-core::TimePoint OnSteadyClock(core::TimePoint when) {
-  return steady_clock::now() + (when - BootTime());
-}
+using task::OnSteadyClock;
 
 }  // namespace
 
--- a/testsuite/support/session/instance_host.h
+++ b/testsuite/support/session/instance_host.h
@@ -91,8 +91,17 @@
   uint32_t lose_one_in = 0;
   uint64_t forwarded = 0;
   uint32_t connection_limit = 21;
+  /// Instances that no other one reaches, nor they any other.
+  std::set<std::string> parted;
+
+  bool Reaches(const std::string& one, const std::string& other) const {
+    return parted.count(one) == 0 && parted.count(other) == 0;
+  }
 };
 
+/// Silence after which streams give up what may run again elsewhere.
+constexpr milliseconds kStreamSilence{300};
+
 class InstanceHost : public core::session::SessionPort,
                      public core::session::Forwarder {
  public:
@@ -215,7 +224,7 @@
 
   void Forward(core::session::ForwardId call, const std::string& keeper,
                const core::session::ForwardedStatement& statement,
-               TimePoint deadline) override {
+               const core::session::ForwardTerms& terms) override {
     using core::session::ForwardOutcome;
     ++fleet_->forwarded;
     // A stream that has been given up delivers nothing any more, also when the
@@ -225,17 +234,33 @@
     InstanceHost* target = fleet_->instances.at(keeper);
     const bool lost =
         fleet_->lose_one_in > 0 && fleet_->forwarded % fleet_->lose_one_in == 0;
-    clock_->At(deadline, [this, call, stream] {
+    if (!fleet_->Reaches(name_, keeper)) {
+      clock_->At(terms.alive_by, [this, call, stream] {
+        Answered(call, stream, ForwardOutcome::kNotSent, Reply());
+      });
+      return;
+    }
+    clock_->At(terms.deadline, [this, call, stream] {
       Answered(call, stream, ForwardOutcome::kLost, Reply());
     });
-    clock_->After(milliseconds(1), [this, target, call, statement, lost,
-                                    stream] {
-      target->Adopt(statement, [this, call, lost, stream](const Reply& reply) {
-        if (lost) return;
-        clock_->After(milliseconds(1), [this, call, reply, stream] {
-          Answered(call, stream, ForwardOutcome::kAnswered, reply);
+    if (terms.lost_in_silence) LookForSilence(call, stream, keeper);
+    clock_->After(
+        milliseconds(1), [this, target, call, statement, lost, stream] {
+          target->Adopt(statement, [this, target, call, lost,
+                                    stream](const Reply& reply) {
+            if (lost || !fleet_->Reaches(name_, target->name())) return;
+            clock_->After(milliseconds(1), [this, call, reply, stream] {
+              Answered(call, stream, ForwardOutcome::kAnswered, reply);
+            });
+          });
         });
-      });
+  }
+  void Probe(const std::string& instance, TimePoint deadline) override {
+    const bool alive = fleet_->Reaches(name_, instance);
+    const TimePoint at = alive ? clock_->now() + milliseconds(2) : deadline;
+    clock_->At(at, [this, instance, alive, life = life_] {
+      if (life != life_) return;
+      proxy_->InstanceProbed(clock_->now(), instance, alive);
     });
   }
   void Cancel(core::session::ForwardId call) override { waiting_.erase(call); }
@@ -286,6 +311,19 @@
     proxy_->AdoptStatement(clock_->now(), entry.caller, statement);
   }
 
+  void LookForSilence(core::session::ForwardId call, uint64_t stream,
+                      const std::string& keeper) {
+    clock_->After(kStreamSilence, [this, call, stream, keeper] {
+      const auto found = waiting_.find(call);
+      if (found == waiting_.end() || found->second != stream) return;
+      if (fleet_->Reaches(name_, keeper)) {
+        LookForSilence(call, stream, keeper);
+      } else {
+        Answered(call, stream, core::session::ForwardOutcome::kLost, Reply());
+      }
+    });
+  }
+
   void Answered(core::session::ForwardId call, uint64_t stream,
                 core::session::ForwardOutcome outcome, Reply reply) {
     const auto found = waiting_.find(call);
--- a/testsuite/wire_peer/wire_peer_test.cc
+++ b/testsuite/wire_peer/wire_peer_test.cc
@@ -20,6 +20,31 @@
   return "127.0.0.1:" + std::to_string(port);
 }
 
+/// A process that stands still: its kernel accepts connections and what is
+/// sent, and nothing reads.
+class FrozenPeer {
+ public:
+  FrozenPeer() : fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    EXPECT_EQ(bind(fd_, reinterpret_cast<sockaddr*>(&address), size), 0);
+    EXPECT_EQ(listen(fd_, 8), 0);
+    getsockname(fd_, reinterpret_cast<sockaddr*>(&address), &size);
+    address_ = LocalAddress(ntohs(address.sin_port));
+  }
+  ~FrozenPeer() { close(fd_); }
+  FrozenPeer(const FrozenPeer&) = delete;
+  FrozenPeer& operator=(const FrozenPeer&) = delete;
+
+  const std::string& address() const { return address_; }
+
+ private:
+  int fd_;
+  std::string address_;
+};
+
 /// Server and client on one loop.
 class PeerTest : public ::testing::Test {
  protected:
@@ -39,7 +64,10 @@
 
   /// Makes a call whose result is kept; the loop stops after `stop_after`.
   uint64_t Call(const std::string& body, Clock::time_point deadline) {
-    return client_->Call("/peer/test", body, deadline,
+    return Call(body, CallTerms{deadline, {}, false});
+  }
+  uint64_t Call(const std::string& body, const CallTerms& terms) {
+    return client_->Call("/peer/test", body, terms,
                          [this, body](const PeerResult& result) {
                            results_[body].push_back(result);
                            if (++done_ == stop_after_) loop_.Stop();
@@ -205,20 +233,72 @@
 // reads. The caller has its answer at the deadline all the same, and since the
 // request may be read on waking, that answer is not "not sent".
 TEST_F(PeerTest, FrozenPeerIsLostAtTheDeadline) {
-  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof(address);
-  ASSERT_EQ(bind(fd, reinterpret_cast<sockaddr*>(&address), size), 0);
-  ASSERT_EQ(listen(fd, 8), 0);
-  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
-  client_ = std::make_unique<PeerClient>(loop_.base(),
-                                         LocalAddress(ntohs(address.sin_port)));
+  const FrozenPeer frozen;
+  client_ = std::make_unique<PeerClient>(loop_.base(), frozen.address());
   Call("x", Clock::now() + kShort);
   loop_.Run();
   EXPECT_EQ(StatusOf("x"), CallStatus::kLost);
-  close(fd);
+}
+
+// A statement is about to go to a keeper that has lost power or is frozen. Once
+// sent it may run at any later time, and a write would be in doubt for its
+// caller. Held back until the keeper shows that it lives, it has not run and
+// can go to another.
+TEST_F(PeerTest, HeldBackCallIsNotSentToASilentPeer) {
+  const FrozenPeer frozen;
+  client_ = std::make_unique<PeerClient>(loop_.base(), frozen.address());
+  CallTerms terms;
+  terms.deadline = Clock::now() + kLong;
+  terms.alive_by = Clock::now() + kShort;
+  Call("x", terms);
+  loop_.Run();
+  EXPECT_EQ(StatusOf("x"), CallStatus::kNotSent);
+}
+
+TEST_F(PeerTest, HeldBackCallGoesOutOnceThePeerIsHeard) {
+  stop_after_ = 2;
+  Listen([](const PeerCall& call) { call.Reply(call.body()); });
+  CallTerms terms;
+  terms.deadline = Clock::now() + kLong;
+  terms.alive_by = terms.deadline;
+  // The first waits for the connection, the second for the answer to a ping.
+  Call("first", terms);
+  loop_.At(Clock::now() + 10 * kShort, [&] { Call("second", terms); });
+  loop_.Run();
+  EXPECT_EQ(StatusOf("first"), CallStatus::kOk);
+  EXPECT_EQ(StatusOf("second"), CallStatus::kOk);
+}
+
+// A keeper freezes with statements under way. What may run again elsewhere is
+// given up long before its time is over; what may have had an effect is not,
+// since its answer may still come.
+TEST_F(PeerTest, OnlyWhatMayRunAgainIsGivenUpInSilence) {
+  const FrozenPeer frozen;
+  client_ = std::make_unique<PeerClient>(loop_.base(), frozen.address());
+  CallTerms terms;
+  terms.deadline = Clock::now() + kLong;
+  Call("write", terms);
+  terms.lost_in_silence = true;
+  Call("read", terms);
+  loop_.Run();
+  EXPECT_EQ(StatusOf("read"), CallStatus::kLost);
+  EXPECT_EQ(results_.count("write"), 0U);
+}
+
+// A statement takes long, and nothing else comes from its keeper meanwhile. The
+// keeper answers pings, so its caller must get the answer.
+TEST_F(PeerTest, ASlowAnswerIsNoSilence) {
+  std::unique_ptr<PeerCall> held;
+  Listen([&](const PeerCall& call) {
+    held = std::make_unique<PeerCall>(call);
+    loop_.At(Clock::now() + 20 * kShort, [&] { held->Reply("late"); });
+  });
+  CallTerms terms;
+  terms.deadline = Clock::now() + kLong;
+  terms.lost_in_silence = true;
+  Call("x", terms);
+  loop_.Run();
+  EXPECT_EQ(StatusOf("x"), CallStatus::kOk);
 }
 
 // A keeper freezes and thousands of calls to it run into their deadlines
