Silences older than an answer do not make an instance take itself for cut off

Change: a silence counts only if nobody was heard since the question. The test fails on the code before.

--- a/src/include/ryefold/core/session/isolation.h
+++ b/src/include/ryefold/core/session/isolation.h
@@ -29,9 +29,10 @@
   /// Any of the others has answered, or answered a probe. True when the
   /// instance was taken for cut off until now.
   bool Heard(TimePoint now);
-  /// `instance` was asked and gave no sign of life. True when the instance is
-  /// taken for cut off from now on.
-  bool Silent(const std::string& instance);
+  /// `instance` was asked at `asked` and gave no sign of life. That says
+  /// nothing when another one was heard since. True when this instance is taken
+  /// for cut off from now on.
+  bool Silent(const std::string& instance, TimePoint asked);
 
   bool cut_off() const { return cut_off_; }
   /// When any of the others was last heard; epoch if never.
--- a/src/libcore/session/isolation.cc
+++ b/src/libcore/session/isolation.cc
@@ -32,7 +32,11 @@
   return std::exchange(cut_off_, false);
 }
 
-bool Isolation::Silent(const std::string& instance) {
+bool Isolation::Silent(const std::string& instance, TimePoint asked) {
+  // Answers come at once and silences late. Without this an instance on the
+  // smaller side of a partition would count the silences of many probes whose
+  // first had long been answered.
+  if (asked <= heard_at_) return false;
   silent_.insert(instance);
   const size_t needed = std::min(kEnough, others_.size());
   if (cut_off_ || needed < kDoubtful || silent_.size() < needed) return false;
--- a/src/libcore/session/proxy_forwarding.cc
+++ b/src/libcore/session/proxy_forwarding.cc
@@ -67,24 +67,24 @@
 
 void Proxy::Impl::InstanceProbed(TimePoint now, const std::string& instance,
                                  bool alive) {
+  const auto probe = probes_.extract(instance);
   if (alive) {
     InstanceHeard(now);
     return;
   }
   keepers_[instance].suspect_until = now + kSuspicion;
-  InstanceSilent(now, instance);
+  if (!probe.empty()) InstanceSilent(now, instance, probe.mapped());
 }
 
 void Proxy::Impl::InstanceHeard(TimePoint now) {
   const TimePoint before = isolation_.heard_at();
   if (!isolation_.Heard(now)) return;
   Event(events_, EventWeight::kState, "in_touch").Add("after", now - before);
-  // The silences were this instance's own.
-  for (auto& [name, keeper] : keepers_) keeper.suspect_until = TimePoint();
 }
 
-void Proxy::Impl::InstanceSilent(TimePoint now, const std::string& instance) {
-  if (!isolation_.Silent(instance)) return;
+void Proxy::Impl::InstanceSilent(TimePoint now, const std::string& instance,
+                                 TimePoint asked) {
+  if (!isolation_.Silent(instance, asked)) return;
   Event(events_, EventWeight::kState, "cut_off")
       .Add("silent", isolation_.silent())
       .Add("instances", instances_.size())
@@ -99,14 +99,19 @@
     if (keeper.instance == self_) continue;
     const auto state = keepers_.find(keeper.instance);
     if (state != keepers_.end() && now < state->second.suspect_until) continue;
-    forwarder_->Probe(keeper.instance, now + kProbeTime);
+    ProbeInstance(now, keeper.instance);
   }
 }
 
+void Proxy::Impl::ProbeInstance(TimePoint now, const std::string& instance) {
+  if (!probes_.emplace(instance, now).second) return;  // under way already
+  forwarder_->Probe(instance, now + kProbeTime);
+}
+
 void Proxy::Impl::MaintainTouch(TimePoint now) {
   if (forwarder_ == nullptr) return;
   for (const std::string& instance : isolation_.ProbesDue(now)) {
-    forwarder_->Probe(instance, now + kProbeTime);
+    ProbeInstance(now, instance);
   }
 }
 
@@ -324,7 +329,7 @@
         .Add("sent", outcome == ForwardOutcome::kLost ? "yes" : "no");
   }
   state.suspect_until = now + kSuspicion;
-  InstanceSilent(now, keeper);
+  InstanceSilent(now, keeper, request->sent);
   const bool sent = outcome == ForwardOutcome::kLost;
   if (request->need == Need::kTransaction) {
     caller->transaction.keeper.clear();
--- a/src/libcore/session/proxy_impl.h
+++ b/src/libcore/session/proxy_impl.h
@@ -118,7 +118,9 @@
 
   // Forwarding.
   void InstanceHeard(TimePoint now);
-  void InstanceSilent(TimePoint now, const std::string& instance);
+  void InstanceSilent(TimePoint now, const std::string& instance,
+                      TimePoint asked);
+  void ProbeInstance(TimePoint now, const std::string& instance);
   void ProbeKeepers(TimePoint now, const Group& group);
   void MaintainTouch(TimePoint now);
   void ChooseAllKeepers(TimePoint now);
@@ -260,6 +262,8 @@
   bool have_instances_ = false;
   std::vector<KeeperCandidate> instances_;
   Isolation isolation_;
+  /// Instances asked for a sign of life, and since when.
+  std::map<std::string, TimePoint> probes_;
   std::unordered_map<RequestId, Request> requests_;
   std::unordered_map<ConnectionId, Connection> connections_;
   std::set<std::pair<TimePoint, RequestId>> timers_;
--- a/src/ryefoldd/forwarding_host.cc
+++ b/src/ryefoldd/forwarding_host.cc
@@ -66,19 +66,21 @@
 
 void ForwardingHost::Probe(const std::string& instance,
                            core::TimePoint deadline) {
+  // Never told from within `Probe`.
+  const auto tell = [this, instance](bool alive) {
+    loop_->Post([this, instance, alive] {
+      proxy_->InstanceProbed(BootTime(), instance, alive);
+      Turn();
+    });
+  };
   wire::PeerClient* peer = peers_->To(instance);
-  if (peer == nullptr) return;
+  if (peer == nullptr) return tell(false);
   wire::CallTerms terms;
   terms.deadline = OnSteadyClock(deadline);
   terms.alive_by = terms.deadline;
   peer->Call(std::string(wire::kPeerSessionAlive), {}, terms,
-             [this, instance](const wire::PeerResult& result) {
-               // Never from within `Probe`.
-               const bool alive = result.status == wire::CallStatus::kOk;
-               loop_->Post([this, instance, alive] {
-                 proxy_->InstanceProbed(BootTime(), instance, alive);
-                 Turn();
-               });
+             [tell](const wire::PeerResult& result) {
+               tell(result.status == wire::CallStatus::kOk);
              });
 }
 
--- a/testsuite/session_isolation/isolation_test.cc
+++ b/testsuite/session_isolation/isolation_test.cc
@@ -200,7 +200,8 @@
   const TimePoint start{std::chrono::seconds(100)};
   isolation.Heard(start);
   int told = 0;
-  for (const std::string& other : others) told += isolation.Silent(other);
+  for (const std::string& other : others)
+    told += isolation.Silent(other, start + milliseconds(1));
   EXPECT_EQ(told, 1);
   EXPECT_TRUE(isolation.cut_off());
   EXPECT_FALSE(isolation.ProbesDue(start).empty());
@@ -213,7 +214,26 @@
 TEST(Isolation, TheSilenceOfOneIsNotThatOfAll) {
   Isolation isolation;
   isolation.SetOthers({"a", "b", "c"});
-  for (int i = 0; i < 100; ++i) EXPECT_FALSE(isolation.Silent("a"));
+  for (int i = 0; i < 100; ++i)
+    EXPECT_FALSE(isolation.Silent("a", TimePoint(milliseconds(i + 1))));
+  EXPECT_FALSE(isolation.cut_off());
+}
+
+// Ten instances are asked at once on the smaller side of a partition. One
+// answers after a millisecond; that the nine others have not answered shows a
+// tenth of a second later and must not outweigh it, or the instance would turn
+// callers away whom it could serve through the one.
+TEST(Isolation, SilencesOlderThanAnAnswerDoNotCount) {
+  Isolation isolation;
+  std::vector<std::string> others;
+  others.reserve(10);
+  for (int i = 0; i < 10; ++i) others.push_back("i" + std::to_string(i));
+  isolation.SetOthers(others);
+  const TimePoint asked{std::chrono::seconds(100)};
+  isolation.Heard(asked + milliseconds(1));
+  for (const std::string& other : others) {
+    EXPECT_FALSE(isolation.Silent(other, asked));
+  }
   EXPECT_FALSE(isolation.cut_off());
 }
 
@@ -221,7 +241,7 @@
 TEST(Isolation, AloneIsNotCutOff) {
   Isolation isolation;
   isolation.SetOthers({});
-  EXPECT_FALSE(isolation.Silent("gone"));
+  EXPECT_FALSE(isolation.Silent("gone", TimePoint(milliseconds(1))));
   EXPECT_TRUE(isolation.ProbesDue(TimePoint()).empty());
 }
 
