--- a/src/ryefoldd/mirror_host.cc
+++ b/src/ryefoldd/mirror_host.cc
@@ -19,6 +19,11 @@
 using task::BootTime;
 using task::OnSteadyClock;
 
+/// Time that a relay has for a sign of life before it is asked. One that died
+/// stays in the list for up to a minute and is tried again each few seconds;
+/// waiting for its answer would take 1.7 s of them.
+constexpr milliseconds kAliveTime{200};
+
 }  // namespace
 
 MirrorHost::MirrorHost(task::Loop* loop, core::mirror::StoreSource* store,
@@ -73,8 +78,11 @@
     loop_->Post([this] { Answered(ReadError::kUnreachable); });
     return;
   }
+  wire::CallTerms terms;
+  terms.deadline = OnSteadyClock(deadline);
+  terms.alive_by = std::min(terms.deadline, steady_clock::now() + kAliveTime);
   peer->Call(std::string(wire::kPeerMirror),
-             wire::WriteRelayQuestion({after, wait}), OnSteadyClock(deadline),
+             wire::WriteRelayQuestion({after, wait}), terms,
              [this](const wire::PeerResult& result) {
                // Never from within `AskRelay`.
                loop_->Post([this, result] { RelayAnswered(result); });
