--- a/testsuite/support/session/fake_cluster.h
+++ b/testsuite/support/session/fake_cluster.h
@@ -84,6 +84,8 @@
   struct Session {
     std::string database;
     bool dead = false;
+    /// A dead one counts as open until then.
+    TimePoint counts_until;
     /// Cut: nothing arrives in either direction.
     bool silent = false;
     std::map<std::string, std::string> variables;
@@ -137,7 +139,8 @@
   uint32_t connections(const std::string& id) const {
     uint32_t count = 0;
     for (const auto& [number, session] : sessions_) {
-      count += !session.dead && session.database == id ? 1 : 0;
+      const bool counts = !session.dead || clock_->now() < session.counts_until;
+      count += counts && session.database == id ? 1 : 0;
     }
     return count;
   }
@@ -148,6 +151,7 @@
     FakeDatabase& target = databases_.at(id);
     if (!target.up) return std::nullopt;
     if (connections(id) >= target.max_connections) {
+      ++over_limit_;
       *error = ErrorCode::kTooManyConnections;
       return std::nullopt;
     }
@@ -167,6 +171,15 @@
     if (found != sessions_.end()) Abandon(&found->second);
   }
 
+  /// The other side has lost power: the database counts the connection for a
+  /// while longer.
+  void LosePower(uint64_t number) {
+    Disconnect(number);
+    sessions_.at(number).counts_until = clock_->now() + kLinger;
+  }
+  /// Connections turned away since the database held all that it takes.
+  uint64_t over_limit() const { return over_limit_; }
+
   /// The connection goes on but carries nothing any more.
   void Silence(uint64_t number) { sessions_.at(number).silent = true; }
 
@@ -225,6 +238,8 @@
 
  private:
   static constexpr milliseconds kSync{3};
+  /// How long connections count whose other side has lost power.
+  static constexpr milliseconds kLinger{3000};
   /// How long an old primary goes on once it reaches its successor.
   static constexpr milliseconds kGoesOn{1000};
   static constexpr uint32_t kSlots = 3;
@@ -535,6 +550,7 @@
   std::map<std::string, FakeDatabase> databases_;
   std::map<uint64_t, Session> sessions_;
   uint64_t last_session_ = 0;
+  uint64_t over_limit_ = 0;
   uint64_t last_transaction_ = 0;
   /// The newest.
   uint64_t term_ = 1;
--- a/testsuite/support/session/instance_host.h
+++ b/testsuite/support/session/instance_host.h
@@ -125,13 +125,14 @@
     for (const auto& [connection, session] : sessions_) {
       cluster_->Disconnect(session);
     }
-    sessions_.clear();
-    accepted_.clear();
-    adopted_ = core::session::AdoptedSessions();
-    answers_.clear();
-    waiting_.clear();
-    ++life_;
-    Start();
+    StartAgain();
+  }
+  /// The same with the machine: databases do not hear of it.
+  void RestartAfterPowerLoss() {
+    for (const auto& [connection, session] : sessions_) {
+      cluster_->LosePower(session);
+    }
+    StartAgain();
   }
 
   Proxy* proxy() { return proxy_.get(); }
@@ -288,6 +289,16 @@
   }
 
  private:
+  void StartAgain() {
+    sessions_.clear();
+    accepted_.clear();
+    adopted_ = core::session::AdoptedSessions();
+    answers_.clear();
+    waiting_.clear();
+    ++life_;
+    Start();
+  }
+
   void Start() {
     core::session::ProxySettings settings;
     settings.failure_domain = failure_domain_;
