Held writes go through another instance that sees a replica

Change: the detour that serves a primary out of reach also serves held writes. Test: WritesThroughAnotherInstanceWhenOnlyThisOneSeesNoReplica refused 10 of 10 before.

--- a/src/libcore/session/proxy_forwarding.cc
+++ b/src/libcore/session/proxy_forwarding.cc
@@ -212,15 +212,17 @@
   return primary != databases_.end() && Suspect(now, primary->second);
 }
 
-/// A primary can be cut off from some instances and serve the others. A
-/// statement that needs it goes through one of those, rather than that all
-/// pay for a promotion with a second without writes.
+/// A primary can be cut off from some instances and serve the others, and so
+/// can the replicas that commits are confirmed by. A statement that needs them
+/// goes through an instance that reaches them, rather than that all pay for a
+/// promotion with a second without writes.
 bool Proxy::Impl::TryDetour(TimePoint now, Request* request, Group* group) {
   const bool possible =
       forwarder_ != nullptr && group->kept &&
       !callers_.at(request->caller).adopted && request->running.empty() &&
       now >= group->no_detour_until &&
-      (PrimaryOutOfReach(now, *group) || LeadInDoubt(now, *group));
+      (PrimaryOutOfReach(now, *group) || LeadInDoubt(now, *group) ||
+       (request->writes && WritesHeld(*request)));
   if (!possible) return false;
   const size_t count = instances_.size();
   for (size_t i = 0; i < count; ++i) {
--- a/src/libcore/session/proxy_placing.cc
+++ b/src/libcore/session/proxy_placing.cc
@@ -86,6 +86,7 @@
   group->used_at = now;
   if (request->attempts == 0) group->demand.Arrived(now, request->route->name);
   if (request->writes && WritesHeld(*request)) {
+    if (TryDetour(now, request, group)) return;
     RefuseHeld(now, request, no_primary);
     return;
   }
--- a/testsuite/session_proxy/proxy_test.cc
+++ b/testsuite/session_proxy/proxy_test.cc
@@ -166,6 +166,21 @@
   EXPECT_EQ(cluster_.primary(), "db-a");
 }
 
+// One instance has lost its paths to both replicas, so that it cannot see
+// whether commits are received, while all databases reach each other and the
+// other instances reach them all. Its callers must be able to write through
+// another instance rather than be refused for as long as the cut lasts.
+TEST_F(ProxyTest, WritesThroughAnotherInstanceWhenOnlyThisOneSeesNoReplica) {
+  Make(3);
+  Start(0, 1, "primary");
+  EXPECT_EQ(Write(0, 1), ErrorCode::kNone);
+  hosts_[0]->CutFrom("db-b");
+  hosts_[0]->CutFrom("db-c");
+  // The first statement finds out; what became of it stays open.
+  Write(0, 1);
+  for (int i = 0; i < 10; ++i) EXPECT_EQ(Write(0, 1), ErrorCode::kNone) << i;
+}
+
 // The primary is lost for all. Asking every other instance for each statement
 // would multiply the load just when the group is in trouble.
 TEST_F(ProxyTest, AsksAroundSeldomWhenThePrimaryIsLostForAll) {
