Beliefs about other instances and the client's link get sources of their own

proxy_instances.cc holds who keeps which group, who keeps silent and whether any other instance is reached; peer_client_link one connection and its calls, behind an interface to its owner.

--- a/src/libcore/session/proxy_forwarding.cc
+++ b/src/libcore/session/proxy_forwarding.cc
@@ -11,9 +11,6 @@
 
 using std::chrono::milliseconds;
 
-/// How long a keeper that did not answer is passed over. Trying it again costs
-/// one statement `kAliveTime`.
-constexpr milliseconds kSuspicion{1000};
 /// Keepers tried for one statement.
 constexpr uint32_t kMaxForwards = 4;
 /// Time that a keeper has for a sign of life before a statement goes to it; the
@@ -25,15 +22,9 @@
 constexpr milliseconds kAliveTime{60};
 /// The same for a statement of a transaction, which only this keeper can run.
 constexpr milliseconds kBoundAliveTime{300};
-/// Time for the answer to a probe: two silent keepers may be tried one after
-/// the other until the probes have told which of the rest live.
-constexpr milliseconds kProbeTime{100};
 /// The keeper answers when the route's time is over; this much later it is
 /// taken to have failed.
 constexpr milliseconds kAnswerReserve{150};
-/// Cost of another failure domain in the choice of a keeper, in statements
-/// under way there.
-constexpr uint32_t kOtherDomain = 3;
 /// Pause after several instances could not reach a primary either: it is lost,
 /// and asking around for each statement would only add load.
 constexpr milliseconds kDetourPause{500};
@@ -51,147 +42,10 @@
 
 }  // namespace
 
-void Proxy::Impl::SetKeepers(TimePoint now, const std::string& self,
-                             const std::vector<KeeperCandidate>& instances) {
-  self_ = self;
-  have_instances_ = true;
-  instances_ = instances;
-  std::vector<std::string> others;
-  for (const KeeperCandidate& each : instances_) {
-    if (each.instance != self_) others.push_back(each.instance);
-  }
-  // Instances of one name follow each other; neighbours fail together.
-  std::shuffle(others.begin(), others.end(), std::mt19937_64(settings_.seed));
-  isolation_.SetOthers(std::move(others));
-  ChooseAllKeepers(now);
-  PumpAll(now);
-}
-
-void Proxy::Impl::InstanceProbed(TimePoint now, const std::string& instance,
-                                 bool alive) {
-  const auto probe = probes_.extract(instance);
-  if (alive) {
-    InstanceHeard(now);
-    return;
-  }
-  keepers_[instance].suspect_until = now + kSuspicion;
-  if (!probe.empty()) InstanceSilent(now, instance, probe.mapped());
-}
-
-void Proxy::Impl::InstanceHeard(TimePoint now) {
-  const TimePoint before = isolation_.heard_at();
-  if (!isolation_.Heard(now)) return;
-  Event(events_, EventWeight::kState, "in_touch").Add("after", now - before);
-}
-
-void Proxy::Impl::InstanceSilent(TimePoint now, const std::string& instance,
-                                 TimePoint asked) {
-  if (!isolation_.Silent(instance, asked)) return;
-  Event(events_, EventWeight::kState, "cut_off")
-      .Add("silent", isolation_.silent())
-      .Add("instances", instances_.size())
-      .Add("last_heard", now - isolation_.heard_at());
-}
-
-/// One keeper of the group keeps silent. Whatever took it may have taken others
-/// too; they are asked at once, or the next statements would find out one by
-/// one.
-void Proxy::Impl::ProbeKeepers(TimePoint now, const Group& group) {
-  for (const KeeperCandidate& keeper : group.keepers) {
-    if (keeper.instance == self_) continue;
-    const auto state = keepers_.find(keeper.instance);
-    if (state != keepers_.end() && now < state->second.suspect_until) continue;
-    ProbeInstance(now, keeper.instance);
-  }
-}
-
-void Proxy::Impl::ProbeInstance(TimePoint now, const std::string& instance) {
-  if (!probes_.emplace(instance, now).second) return;  // under way already
-  forwarder_->Probe(instance, now + kProbeTime);
-}
-
-void Proxy::Impl::MaintainTouch(TimePoint now) {
-  if (forwarder_ == nullptr) return;
-  for (const std::string& instance : isolation_.ProbesDue(now)) {
-    ProbeInstance(now, instance);
-  }
-}
-
-/// Until the instances are known nobody can tell who keeps a group, and this
-/// instance takes itself for none of its keepers. Otherwise a fleet that starts
-/// at one moment, after a loss of power, opens a connection from every instance
-/// to every database; each takes a slot for its 12 ms, beyond the limit the
-/// database resets them, and callers wait for all of it. Of 195 instances
-/// before 60 databases, in single plays, 5,817 connections were reset and the
-/// median instance gave its first answer 270 ms after it had its configuration.
-void Proxy::Impl::ChooseAllKeepers(TimePoint now) {
-  if (!have_instances_) return;
-  for (auto& [name, group] : groups_) {
-    const size_t count =
-        KeeperCount(group->limits.connection_limit, instances_.size());
-    std::vector<KeeperCandidate> keepers;
-    if (count > 0) keepers = ChooseKeepers(name, instances_, count);
-    const bool among = std::any_of(
-        keepers.begin(), keepers.end(),
-        [this](const KeeperCandidate& each) { return each.instance == self_; });
-    const bool kept = count == 0 || among;
-    if (kept != group->kept) {
-      Event(events_, EventWeight::kState, kept ? "group_kept" : "group_left")
-          .Add("group", name)
-          .Add("keepers", keepers.size())
-          .Add("instances", instances_.size());
-    }
-    group->kept = kept;
-    group->keepers = std::move(keepers);
-    if (kept) OpenFirst(now, *group);
-  }
-}
-
 std::string Proxy::Impl::SessionName(const Caller& caller) const {
   return settings_.session_prefix + std::to_string(caller.id);
 }
 
-/// The keeper with the least under way, the own failure domain preferred;
-/// among equals callers spread by their numbers.
-const KeeperCandidate* Proxy::Impl::ChooseKeeper(TimePoint now,
-                                                 const Request& request,
-                                                 const Group& group) const {
-  const KeeperCandidate* best = nullptr;
-  uint32_t best_cost = 0;
-  const size_t count = group.keepers.size();
-  for (size_t i = 0; i < count; ++i) {
-    const KeeperCandidate& keeper = group.keepers[(i + request.caller) % count];
-    const auto& refused = request.turned_down;
-    if (std::count(refused.begin(), refused.end(), keeper.instance) > 0) {
-      continue;
-    }
-    const auto state = keepers_.find(keeper.instance);
-    uint32_t cost = 0;
-    if (state != keepers_.end()) {
-      if (now < state->second.suspect_until) continue;
-      if (now < state->second.starting_until) continue;
-      if (NoPrimaryThere(now, request, group, state->second)) continue;
-      cost = state->second.under_way;
-    }
-    if (keeper.failure_domain != settings_.failure_domain) {
-      cost += kOtherDomain;
-    }
-    if (best != nullptr && cost >= best_cost) continue;
-    best = &keeper;
-    best_cost = cost;
-  }
-  return best;
-}
-
-/// Whether the statement needs a primary that the keeper is known not to reach.
-bool Proxy::Impl::NoPrimaryThere(TimePoint now, const Request& request,
-                                 const Group& group,
-                                 const KeeperState& keeper) const {
-  if (request.need == Need::kCoveredRead) return false;
-  const auto found = keeper.no_primary_until.find(group.name);
-  return found != keeper.no_primary_until.end() && now < found->second;
-}
-
 /// A keeper that has only just started says so; another is asked. When a whole
 /// fleet starts, with a large configuration, the instances that are first would
 /// turn away what the others can serve a few tenths of a second later: 1,706 of
@@ -248,8 +102,7 @@
     if (instance == self_) continue;
     const auto& refused = request->turned_down;
     if (std::count(refused.begin(), refused.end(), instance) > 0) continue;
-    const auto state = keepers_.find(instance);
-    if (state != keepers_.end() && now < state->second.suspect_until) continue;
+    if (KeptSilent(now, instance)) continue;
     request->detour = true;
     Forward(now, request, instance);
     return true;
@@ -288,12 +141,10 @@
     Forward(now, request, keeper->instance);
     return true;
   }
-  const bool starting = std::any_of(
-      group.keepers.begin(), group.keepers.end(),
-      [this, now](const KeeperCandidate& each) {
-        const auto state = keepers_.find(each.instance);
-        return state != keepers_.end() && now < state->second.starting_until;
-      });
+  const bool starting = std::any_of(group.keepers.begin(), group.keepers.end(),
+                                    [this, now](const KeeperCandidate& each) {
+                                      return IsStarting(now, each.instance);
+                                    });
   if (starting) {
     request->awaits_keeper = true;
     SetTimer(request, std::min(request->timeout_at, now + kStartingPause));
@@ -306,30 +157,6 @@
   return true;
 }
 
-/// A partition can leave this instance with the databases of a group and
-/// without any of its keepers. It then opens a connection of its own: keepers
-/// hold 60% of those that a database takes, and it needs one for a moment. Of
-/// 195 instances 68 were parted so for seven seconds, and 1,175 statements were
-/// refused since no keeper was in reach (one play).
-bool Proxy::Impl::MayRunAlone(TimePoint now, const Request& request,
-                              const Group& group) const {
-  const bool none_in_reach = std::all_of(
-      group.keepers.begin(), group.keepers.end(),
-      [this, now](const KeeperCandidate& keeper) {
-        const auto state = keepers_.find(keeper.instance);
-        return state != keepers_.end() && now < state->second.suspect_until;
-      });
-  if (!none_in_reach || !have_instances_) return false;
-  if (request.need != Need::kCoveredRead) {
-    const auto primary = databases_.find(group.primary);
-    return primary != databases_.end() && MayAnswer(now, primary->second);
-  }
-  return std::any_of(group.databases.begin(), group.databases.end(),
-                     [this, now](const std::string& id) {
-                       return MayAnswer(now, databases_.at(id));
-                     });
-}
-
 void Proxy::Impl::Forward(TimePoint now, Request* request,
                           const std::string& keeper) {
   const Caller& caller = callers_.at(request->caller);
@@ -377,8 +204,9 @@
     return;
   }
   // Many statements can be under way to it; one line tells of the belief.
-  if (now >= state.suspect_until) {
-    state.suspect_until = now + kSuspicion;
+  const bool news = !KeptSilent(now, keeper);
+  InstanceSilent(now, keeper, request->sent);
+  if (news) {
     const Group* group = GroupOf(*request);
     if (group != nullptr) ProbeKeepers(now, *group);
     Event(events_, EventWeight::kState, "keeper_lost")
@@ -386,8 +214,6 @@
         .Add("request", request->statement_id)
         .Add("sent", outcome == ForwardOutcome::kLost ? "yes" : "no");
   }
-  state.suspect_until = now + kSuspicion;
-  InstanceSilent(now, keeper, request->sent);
   const bool sent = outcome == ForwardOutcome::kLost;
   if (request->need == Need::kTransaction) {
     caller->transaction.keeper.clear();
--- a/src/libcore/session/proxy_impl.h
+++ b/src/libcore/session/proxy_impl.h
@@ -32,14 +32,16 @@
   void DrainCallers(TimePoint now);
   void EndIdleTransactions(TimePoint now);
 
-  // proxy_forwarding.cc: statements that run through another instance.
+  // proxy_instances.cc: the other instances.
   void SetForwarder(Forwarder* forwarder) { forwarder_ = forwarder; }
   void SetKeepers(TimePoint now, const std::string& self,
                   const std::vector<KeeperCandidate>& instances);
+  void InstanceProbed(TimePoint now, const std::string& instance, bool alive);
+
+  // proxy_forwarding.cc: statements that run through another instance.
   void ForwardAnswered(TimePoint now, ForwardId call, ForwardOutcome outcome,
                        Reply reply);
   void AdoptStatement(TimePoint now, CallerId id, ForwardedStatement forwarded);
-  void InstanceProbed(TimePoint now, const std::string& instance, bool alive);
 
   // proxy_placing.cc: where statements go.
   void Dispatch(TimePoint now, Request* request);
@@ -120,7 +122,7 @@
   std::shared_ptr<const Route> RouteOf(const std::string& name) const;
   std::shared_ptr<const Route> RouteOf(const Caller& caller) const;
 
-  // Forwarding.
+  // What is believed of other instances (proxy_instances.cc).
   void InstanceHeard(TimePoint now);
   void InstanceSilent(TimePoint now, const std::string& instance,
                       TimePoint asked);
@@ -128,11 +130,17 @@
   void ProbeKeepers(TimePoint now, const Group& group);
   void MaintainTouch(TimePoint now);
   void ChooseAllKeepers(TimePoint now);
-  std::string SessionName(const Caller& caller) const;
   const KeeperCandidate* ChooseKeeper(TimePoint now, const Request& request,
                                       const Group& group) const;
   bool NoPrimaryThere(TimePoint now, const Request& request, const Group& group,
                       const KeeperState& keeper) const;
+  bool MayRunAlone(TimePoint now, const Request& request,
+                   const Group& group) const;
+  bool KeptSilent(TimePoint now, const std::string& instance) const;
+  bool IsStarting(TimePoint now, const std::string& instance) const;
+
+  // Forwarding.
+  std::string SessionName(const Caller& caller) const;
   bool AwaitKeeper(TimePoint now, Request* request, const std::string& keeper,
                    const Reply& reply);
   bool TryAnotherKeeper(TimePoint now, Request* request,
@@ -142,8 +150,6 @@
   bool DetourRefused(TimePoint now, Request* request,
                      const std::string& instance, const Reply& reply);
   bool ForwardToAny(TimePoint now, Request* request, const Group& group);
-  bool MayRunAlone(TimePoint now, const Request& request,
-                   const Group& group) const;
   void Forward(TimePoint now, Request* request, const std::string& keeper);
   void TakeForwardedReply(TimePoint now, Request* request, Caller* caller,
                           const std::string& keeper, Reply reply);
--- a/src/libcore/session/state.h
+++ b/src/libcore/session/state.h
@@ -212,7 +212,8 @@
 /// A keeper as this instance has seen it.
 struct KeeperState {
   uint32_t under_way = 0;
-  TimePoint suspect_until;
+  /// It gave no sign of life and is passed over until then.
+  TimePoint silent_until;
   /// It has only just started and knows no databases yet; not asked until then.
   TimePoint starting_until;
   /// Groups of which it has no primary in reach, and until when that is
--- a/src/libwire/peer_client.cc
+++ b/src/libwire/peer_client.cc
@@ -8,7 +8,7 @@
 #include <utility>
 #include <vector>
 
-#include "http2_link.h"
+#include "peer_client_link.h"
 #include "ryefold/wire/net.h"
 #include "ryefold/wire/peer.h"
 
@@ -18,7 +18,6 @@
 using Clock = std::chrono::steady_clock;
 using std::chrono::milliseconds;
 
-constexpr size_t kMaxAnswer = size_t{64} << 20;
 /// A connection that does not stand after this long is given up.
 constexpr milliseconds kConnectTimeout{2000};
 /// Calls made this soon after a failed attempt fail at once: a dead peer is to
@@ -37,69 +36,8 @@
 
 }  // namespace
 
-/// One call. Its body is read by nghttp2 until the stream is closed, so it is
-/// kept until then, also when its caller has been answered.
-struct OutgoingCall {
-  uint64_t id = 0;
-  std::string path;
-  OutgoingBody body;
-  CallTerms terms;
-  /// When it is given up: first while it is held back, then while it waits for
-  /// its answer. The key in the set of deadlines.
-  core::TimePoint deadline;
-  /// When its peer's silence is looked at next; the key in the set of watches.
-  core::TimePoint watch_at;
-  PeerClientLink* link = nullptr;
-  /// 0 while it is held back.
-  int32_t stream = 0;
-  /// Written whole. The peer acts on nothing less.
-  bool sent = false;
-  /// The answer has arrived whole.
-  bool ended = false;
-  /// Taken by the caller, or no longer wanted.
-  bool settled = false;
-  std::string answer;
-};
-
-class PeerClientLink : public Http2Link {
- public:
-  PeerClientLink(event_base* base, PeerClient::Impl* client)
-      : Http2Link(base, Side::kClient), client_(client) {}
-
-  void Submit(std::unique_ptr<OutgoingCall> call);
-  void Reset(OutgoingCall* call);
-  /// Asks for a sign of life unless that is under way already.
-  void Probe(core::TimePoint now);
-  bool up() const { return stands_; }
-  bool idle() const { return calls_.empty(); }
-  /// When bytes last arrived; epoch if never.
-  core::TimePoint heard_at() const { return heard_at_; }
-  /// Since when a ping is unanswered; epoch when none is.
-  core::TimePoint probed_at() const { return probed_at_; }
-
- private:
-  void OnDown() override;
-  void OnUp() override { stands_ = true; }
-  void OnHeard() override;
-  void OnSettings() override;
-  void OnGoaway() override;
-  void OnData(int32_t stream, std::string_view data) override;
-  void OnEnd(int32_t stream) override;
-  void OnClosed(int32_t stream, uint32_t error) override;
-  void OnSentWhole(int32_t stream) override;
-  void OnNotSent(int32_t stream) override;
-
-  OutgoingCall* Find(int32_t stream);
-  void Remove(int32_t stream);
-
-  PeerClient::Impl* client_;
-  bool stands_ = false;
-  core::TimePoint heard_at_;
-  core::TimePoint probed_at_;
-  std::unordered_map<int32_t, std::unique_ptr<OutgoingCall>> calls_;
-};
-
-class PeerClient::Impl : public std::enable_shared_from_this<Impl> {
+class PeerClient::Impl : public PeerLinkOwner,
+                         public std::enable_shared_from_this<Impl> {
  public:
   Impl(event_base* base, const std::string& address)
       : base_(base), endpoint_(ParseEndpoint(address)) {
@@ -107,7 +45,7 @@
     timer_ = evtimer_new(base, OnTimer, this);
   }
 
-  ~Impl() { Close(); }
+  ~Impl() override { Close(); }
 
   /// No callback comes after this.
   void Close() {
@@ -164,7 +102,7 @@
   // ---- told by links, from within nghttp2 ----
 
   /// The call has its result.
-  void Settle(OutgoingCall* call, CallStatus status) {
+  void Settle(OutgoingCall* call, CallStatus status) override {
     if (call->settled) return;
     Forget(call);
     PeerResult result{status, {}};
@@ -172,10 +110,10 @@
     Finish(call->id, std::move(result));
   }
 
-  void Alive() { backoff_ = kFirstBackoff; }
+  void Alive() override { backoff_ = kFirstBackoff; }
 
   /// What was held back goes out.
-  void Heard(PeerClientLink* link) {
+  void Heard(PeerClientLink* link) override {
     if (current_.get() != link || held_.empty()) return;
     const core::TimePoint now = Clock::now();
     std::vector<std::unique_ptr<OutgoingCall>> held;
@@ -184,18 +122,18 @@
   }
 
   /// Takes no more calls; those open go on.
-  void Drain(PeerClientLink* link) {
+  void Drain(PeerClientLink* link) override {
     if (current_.get() != link) return;
     FailHeld();
     draining_.push_back(std::move(current_));
     if (link->idle()) Ended(link);
   }
 
-  void Drained(PeerClientLink* link) {
+  void Drained(PeerClientLink* link) override {
     if (current_.get() != link && link->idle()) Ended(link);
   }
 
-  void Lost(PeerClientLink* link) {
+  void Lost(PeerClientLink* link) override {
     if (!link->up()) BackOff();
     if (current_.get() == link) FailHeld();
     Ended(link);
@@ -406,100 +344,6 @@
   std::vector<std::unique_ptr<PeerClientLink>> ended_;
 };
 
-void PeerClientLink::Submit(std::unique_ptr<OutgoingCall> call) {
-  const std::array<nghttp2_nv, 4> headers = {
-      StaticHeader(":method", "POST"), StaticHeader(":scheme", "http"),
-      StaticHeader(":authority", "peer"), StaticHeader(":path", call->path)};
-  const nghttp2_data_provider provider = call->body.provider();
-  const int32_t stream = nghttp2_submit_request(
-      session(), nullptr, headers.data(), headers.size(), &provider, nullptr);
-  call->link = this;
-  call->stream = stream;
-  if (stream < 0) {  // out of stream numbers or memory
-    client_->Settle(call.get(), CallStatus::kNotSent);
-    client_->Drain(this);
-    return;
-  }
-  calls_[stream] = std::move(call);
-  FlushSoon();
-}
-
-void PeerClientLink::Probe(core::TimePoint now) {
-  // One that does not stand yet shows by its settings that the peer lives.
-  if (!stands_ || probed_at_ != core::TimePoint()) return;
-  probed_at_ = now;
-  Ping();
-}
-
-void PeerClientLink::OnHeard() {
-  heard_at_ = Clock::now();
-  probed_at_ = core::TimePoint();
-  client_->Heard(this);
-}
-
-void PeerClientLink::Reset(OutgoingCall* call) {
-  nghttp2_submit_rst_stream(session(), NGHTTP2_FLAG_NONE, call->stream,
-                            NGHTTP2_CANCEL);
-  FlushSoon();
-}
-
-void PeerClientLink::OnDown() {
-  for (auto& [stream, call] : calls_) {
-    client_->Settle(call.get(),
-                    call->sent ? CallStatus::kLost : CallStatus::kNotSent);
-  }
-  client_->Lost(this);
-}
-
-void PeerClientLink::OnSettings() { client_->Alive(); }
-
-void PeerClientLink::OnGoaway() { client_->Drain(this); }
-
-void PeerClientLink::OnData(int32_t stream, std::string_view data) {
-  OutgoingCall* call = Find(stream);
-  if (call == nullptr || call->settled) return;
-  if (call->answer.size() + data.size() > kMaxAnswer) {
-    client_->Settle(call, CallStatus::kLost);
-    return Reset(call);
-  }
-  call->answer += data;
-}
-
-void PeerClientLink::OnEnd(int32_t stream) {
-  if (OutgoingCall* call = Find(stream)) call->ended = true;
-}
-
-void PeerClientLink::OnClosed(int32_t stream, uint32_t error) {
-  OutgoingCall* call = Find(stream);
-  if (call == nullptr) return;
-  CallStatus status = CallStatus::kLost;
-  if (call->ended && error == NGHTTP2_NO_ERROR) status = CallStatus::kOk;
-  if (error == NGHTTP2_REFUSED_STREAM) status = CallStatus::kNotSent;
-  client_->Settle(call, status);
-  Remove(stream);
-}
-
-void PeerClientLink::OnSentWhole(int32_t stream) {
-  if (OutgoingCall* call = Find(stream)) call->sent = true;
-}
-
-void PeerClientLink::OnNotSent(int32_t stream) {
-  OutgoingCall* call = Find(stream);
-  if (call == nullptr) return;
-  client_->Settle(call, CallStatus::kNotSent);
-  Remove(stream);
-}
-
-OutgoingCall* PeerClientLink::Find(int32_t stream) {
-  const auto found = calls_.find(stream);
-  return found == calls_.end() ? nullptr : found->second.get();
-}
-
-void PeerClientLink::Remove(int32_t stream) {
-  calls_.erase(stream);
-  client_->Drained(this);
-}
-
 PeerClient::PeerClient(event_base* base, const std::string& address)
     : impl_(std::make_shared<Impl>(base, address)) {}
 PeerClient::~PeerClient() { impl_->Close(); }
