--- a/src/libcore/session/proxy_callers.cc
+++ b/src/libcore/session/proxy_callers.cc
@@ -250,7 +250,7 @@
   }
   if (!request->forwarded_to.empty()) {
     forwarder_->Cancel(request->id);
-    KeeperState& keeper = keepers_[request->forwarded_to];
+    InstanceState& keeper = others_[request->forwarded_to];
     if (keeper.under_way > 0) --keeper.under_way;
   }
   Group* group = GroupOf(*request);
--- a/src/libcore/session/proxy_forwarding.cc
+++ b/src/libcore/session/proxy_forwarding.cc
@@ -54,7 +54,7 @@
 bool Proxy::Impl::AwaitKeeper(TimePoint now, Request* request,
                               const std::string& keeper, const Reply& reply) {
   if (reply.error != ErrorCode::kNotReady || request->detour) return false;
-  keepers_[keeper].starting_until = now + kStartingPause;
+  others_[keeper].starting_until = now + kStartingPause;
   --request->attempts;
   Dispatch(now, request);
   return true;
@@ -72,7 +72,7 @@
   if (request->need == Need::kTransaction) return false;
   Group* group = GroupOf(*request);
   if (group == nullptr || group->kept) return false;
-  keepers_[keeper].no_primary_until[group->name] = now + kNoPrimaryThere;
+  others_[keeper].no_primary_until[group->name] = now + kNoPrimaryThere;
   request->turned_down.push_back(keeper);
   Dispatch(now, request);
   return true;
@@ -175,7 +175,7 @@
   request->forwarded_to = keeper;
   request->database = keeper;
   request->sent = now;
-  ++keepers_[keeper].under_way;
+  ++others_[keeper].under_way;
   const bool bound = forwarded.in_transaction;
   const bool once = request->writes || bound;
   const TimePoint last = request->timeout_at + kAnswerReserve;
@@ -195,7 +195,7 @@
   Request* request = FindRequest(call);
   if (request == nullptr) return;
   const std::string keeper = std::exchange(request->forwarded_to, "");
-  KeeperState& state = keepers_[keeper];
+  InstanceState& state = others_[keeper];
   if (state.under_way > 0) --state.under_way;
   Caller* caller = FindCaller(request->caller);
   if (outcome == ForwardOutcome::kAnswered) {
--- a/src/libcore/session/proxy_impl.h
+++ b/src/libcore/session/proxy_impl.h
@@ -133,7 +133,7 @@
   const KeeperCandidate* ChooseKeeper(TimePoint now, const Request& request,
                                       const Group& group) const;
   bool NoPrimaryThere(TimePoint now, const Request& request, const Group& group,
-                      const KeeperState& keeper) const;
+                      const InstanceState& keeper) const;
   bool MayRunAlone(TimePoint now, const Request& request,
                    const Group& group) const;
   bool KeptSilent(TimePoint now, const std::string& instance) const;
@@ -271,7 +271,7 @@
   std::map<std::string, std::unique_ptr<Group>> groups_;
   std::map<std::string, DatabaseState> databases_;
   std::unordered_map<CallerId, Caller> callers_;
-  std::map<std::string, KeeperState> keepers_;
+  std::map<std::string, InstanceState> others_;
   std::string self_;
   /// Whether `instances_` has been told.
   bool have_instances_ = false;
--- a/src/libcore/session/proxy_instances.cc
+++ b/src/libcore/session/proxy_instances.cc
@@ -34,7 +34,7 @@
   for (const KeeperCandidate& each : instances_) {
     if (each.instance != self_) others.push_back(each.instance);
   }
-  // Instances of one name follow each other; neighbours fail together.
+  // Names sort by failure domain, which can fail as a whole.
   std::shuffle(others.begin(), others.end(), std::mt19937_64(settings_.seed));
   isolation_.SetOthers(std::move(others));
   ChooseAllKeepers(now);
@@ -59,7 +59,7 @@
 
 void Proxy::Impl::InstanceSilent(TimePoint now, const std::string& instance,
                                  TimePoint asked) {
-  keepers_[instance].silent_until = now + kSuspicion;
+  others_[instance].silent_until = now + kSuspicion;
   if (!isolation_.Silent(instance, asked)) return;
   Event(events_, EventWeight::kState, "cut_off")
       .Add("silent", isolation_.silent())
@@ -68,13 +68,13 @@
 }
 
 bool Proxy::Impl::KeptSilent(TimePoint now, const std::string& instance) const {
-  const auto state = keepers_.find(instance);
-  return state != keepers_.end() && now < state->second.silent_until;
+  const auto state = others_.find(instance);
+  return state != others_.end() && now < state->second.silent_until;
 }
 
 bool Proxy::Impl::IsStarting(TimePoint now, const std::string& instance) const {
-  const auto state = keepers_.find(instance);
-  return state != keepers_.end() && now < state->second.starting_until;
+  const auto state = others_.find(instance);
+  return state != others_.end() && now < state->second.starting_until;
 }
 
 /// One keeper of the group keeps silent. Whatever took it may have taken others
@@ -89,7 +89,12 @@
 }
 
 void Proxy::Impl::ProbeInstance(TimePoint now, const std::string& instance) {
-  if (!probes_.emplace(instance, now).second) return;  // under way already
+  const auto found = probes_.find(instance);
+  // One whose answer is long overdue went with its stream.
+  const bool under_way =
+      found != probes_.end() && now - found->second < 2 * kProbeTime;
+  if (under_way) return;
+  probes_[instance] = now;
   forwarder_->Probe(instance, now + kProbeTime);
 }
 
@@ -144,9 +149,9 @@
     if (std::count(refused.begin(), refused.end(), keeper.instance) > 0) {
       continue;
     }
-    const auto state = keepers_.find(keeper.instance);
+    const auto state = others_.find(keeper.instance);
     uint32_t cost = 0;
-    if (state != keepers_.end()) {
+    if (state != others_.end()) {
       if (KeptSilent(now, keeper.instance)) continue;
       if (IsStarting(now, keeper.instance)) continue;
       if (NoPrimaryThere(now, request, group, state->second)) continue;
@@ -165,7 +170,7 @@
 /// Whether the statement needs a primary that the keeper is known not to reach.
 bool Proxy::Impl::NoPrimaryThere(TimePoint now, const Request& request,
                                  const Group& group,
-                                 const KeeperState& keeper) const {
+                                 const InstanceState& keeper) const {
   if (request.need == Need::kCoveredRead) return false;
   const auto found = keeper.no_primary_until.find(group.name);
   return found != keeper.no_primary_until.end() && now < found->second;
--- a/src/libcore/session/state.h
+++ b/src/libcore/session/state.h
@@ -209,8 +209,9 @@
   bool status_wanted = false;
 };
 
-/// A keeper as this instance has seen it.
-struct KeeperState {
+/// Another instance as this one has seen it.
+struct InstanceState {
+  /// Statements forwarded there that it has not answered.
   uint32_t under_way = 0;
   /// It gave no sign of life and is passed over until then.
   TimePoint silent_until;
--- a/src/libwire/peer_client.cc
+++ b/src/libwire/peer_client.cc
@@ -1,7 +1,6 @@
 #include <event2/event.h>
 
 #include <algorithm>
-#include <array>
 #include <memory>
 #include <set>
 #include <unordered_map>
