--- a/testsuite/mirror_fleet/fleet_test.cc
+++ b/testsuite/mirror_fleet/fleet_test.cc
@@ -204,8 +204,9 @@
   for (int phase = 0; phase < 20; ++phase) {
     MirrorFleet fleet(8, 1);
     fleet.Start();
-    for (const auto& each : fleet.all)
+    for (const auto& each : fleet.all) {
       fleet.store.silent_to.insert(each->name());
+    }
     fleet.RunFor(milliseconds(1800 + 170 * phase));
     fleet.store.Put("config", "new");
     fleet.store.silent_to.clear();
