--- a/testsuite/session_connections/connections_test.cc
+++ b/testsuite/session_connections/connections_test.cc
@@ -105,7 +105,8 @@
     answers_ = 0;
     served_ = 0;
     Run(span);
-    return static_cast<double>(served_) / std::max<uint64_t>(answers_, 1);
+    const auto answers = static_cast<double>(std::max<uint64_t>(answers_, 1));
+    return static_cast<double>(served_) / answers;
   }
 
   static constexpr CallerId kCallers = 120;
