A late statement cannot run inside a later transaction of its session

Statements named the session, not the transaction. Ruled out: the pool (the connection was the new transaction's own). Change: each transaction and each single statement that is forwarded has a name of its own. Test: ALateStatementFindsItsTransactionGone; the late statement ran before.

--- a/src/include/ryefold/core/session/forwarding.h
+++ b/src/include/ryefold/core/session/forwarding.h
@@ -30,7 +30,8 @@
 /// with each, so that keepers keep nothing but open transactions and any of
 /// them can be lost.
 struct ForwardedStatement {
-  /// The caller's session, unique among all instances and their restarts.
+  /// The caller's transaction or single statement, unique among all instances
+  /// and their restarts.
   std::string session;
   std::string statement_id;
   Statement statement;
--- a/src/libcore/session/proxy_forwarding.cc
+++ b/src/libcore/session/proxy_forwarding.cc
@@ -42,8 +42,14 @@
 
 }  // namespace
 
+/// Names the transaction, or the single statement, that the caller has under
+/// way elsewhere. Each has a name of its own: a statement can be held up by a
+/// partition, given up here, and still reach the keeper when the partition
+/// heals ten seconds later. Under the session's name it would run inside the
+/// transaction that the session has begun there since.
 std::string Proxy::Impl::SessionName(const Caller& caller) const {
-  return settings_.session_prefix + std::to_string(caller.id);
+  return settings_.session_prefix + std::to_string(caller.id) + "/" +
+         std::to_string(caller.forwarded);
 }
 
 /// A keeper that has only just started says so; another is asked. When a whole
@@ -159,7 +165,8 @@
 
 void Proxy::Impl::Forward(TimePoint now, Request* request,
                           const std::string& keeper) {
-  const Caller& caller = callers_.at(request->caller);
+  Caller& caller = callers_.at(request->caller);
+  if (request->need != Need::kTransaction) ++caller.forwarded;
   ForwardedStatement forwarded;
   forwarded.session = SessionName(caller);
   forwarded.statement_id = request->statement_id;
--- a/src/libcore/session/state.h
+++ b/src/libcore/session/state.h
@@ -64,6 +64,9 @@
   std::map<std::string, PreparedRef> prepared;
   TransactionState state = TransactionState::kIdle;
   Transaction transaction;
+  /// Transactions and single statements sent through other instances so far,
+  /// each attempt counted.
+  uint64_t forwarded = 0;
   /// Group of `committed`; the route may move to another.
   std::string group;
   /// Position that holds the session's last acknowledged commit.
--- a/testsuite/session_proxy/proxy_test.cc
+++ b/testsuite/session_proxy/proxy_test.cc
@@ -338,6 +338,36 @@
   EXPECT_EQ(Write(0, 1), ErrorCode::kNone);
 }
 
+// A partition holds up a statement on its way to the keeper of its transaction.
+// The caller is told that the transaction has failed and begins another at the
+// same keeper; then the partition heals and the old statement arrives. It must
+// not run inside the new transaction.
+TEST_F(ProxyTest, ALateStatementFindsItsTransactionGone) {
+  constexpr uint32_t kInstances = 60;
+  fleet_.connection_limit = 53;
+  Make(kInstances);
+  size_t entry = 0;
+  while (hosts_[entry]->proxy()->groups(clock_.now()).front().kept) ++entry;
+  Start(entry, 1, "primary");
+  ASSERT_EQ(Ask(entry, 1, StatementKind::kBegin, "BEGIN"), ErrorCode::kNone);
+  ASSERT_EQ(Read(entry, 1), ErrorCode::kNone);
+  const auto late = fleet_.last_forwarded;
+  const std::string keeper = fleet_.last_keeper;
+  ASSERT_EQ(Ask(entry, 1, StatementKind::kRollback, "ROLLBACK"),
+            ErrorCode::kNone);
+  // Callers spread over keepers by what is under way; one has the same keeper.
+  do {
+    Ask(entry, 1, StatementKind::kRollback, "ROLLBACK");
+    ASSERT_EQ(Ask(entry, 1, StatementKind::kBegin, "BEGIN"), ErrorCode::kNone);
+  } while (fleet_.last_keeper != keeper);
+  std::optional<ErrorCode> answer;
+  fleet_.instances.at(keeper)->Adopt(
+      late, [&answer](const Reply& reply) { answer = reply.error; });
+  Run(100);
+  EXPECT_EQ(answer, ErrorCode::kAborted);
+  EXPECT_EQ(Read(entry, 1), ErrorCode::kNone);
+}
+
 // A fleet starts, and the instances read the store one after the other within
 // half a second. Those that are first let callers in, whose statements go to
 // keepers that know no databases yet. They can be served as soon as these do,
--- a/testsuite/support/session/instance_host.h
+++ b/testsuite/support/session/instance_host.h
@@ -90,6 +90,9 @@
   /// One forwarded statement in this many loses its answer; 0: none.
   uint32_t lose_one_in = 0;
   uint64_t forwarded = 0;
+  /// The last statement that was forwarded, and where to.
+  core::session::ForwardedStatement last_forwarded;
+  std::string last_keeper;
   uint32_t connection_limit = 21;
   /// Instances that no other one reaches, nor they any other.
   std::set<std::string> parted;
@@ -239,6 +242,8 @@
                const core::session::ForwardTerms& terms) override {
     using core::session::ForwardOutcome;
     ++fleet_->forwarded;
+    fleet_->last_forwarded = statement;
+    fleet_->last_keeper = keeper;
     // A stream that has been given up delivers nothing any more, also when the
     // same call has been sent again since.
     const uint64_t stream = ++last_stream_;
@@ -299,6 +304,19 @@
     });
   }
 
+  /// A statement that another instance has forwarded arrives.
+  void Adopt(const core::session::ForwardedStatement& statement,
+             std::function<void(Reply)> answer) {
+    const auto entry =
+        adopted_.Enter(statement.session, statement.in_transaction);
+    if (entry.abandoned != 0) {
+      answers_.erase(entry.abandoned);
+      proxy_->CallerGone(clock_->now(), entry.abandoned);
+    }
+    answers_[entry.caller] = std::move(answer);
+    proxy_->AdoptStatement(clock_->now(), entry.caller, statement);
+  }
+
  private:
   void StartAgain() {
     sessions_.clear();
@@ -325,18 +343,6 @@
     proxy_->SetInstances(clock_->now(), name_, fleet_->candidates);
   }
 
-  void Adopt(const core::session::ForwardedStatement& statement,
-             std::function<void(Reply)> answer) {
-    const auto entry =
-        adopted_.Enter(statement.session, statement.in_transaction);
-    if (entry.abandoned != 0) {
-      answers_.erase(entry.abandoned);
-      proxy_->CallerGone(clock_->now(), entry.abandoned);
-    }
-    answers_[entry.caller] = std::move(answer);
-    proxy_->AdoptStatement(clock_->now(), entry.caller, statement);
-  }
-
   void LookForSilence(core::session::ForwardId call, uint64_t stream,
                       const std::string& keeper) {
     clock_->After(kStreamSilence, [this, call, stream, keeper] {
