--- a/testsuite/wire_peer/wire_peer_test.cc
+++ b/testsuite/wire_peer/wire_peer_test.cc
@@ -1,11 +1,8 @@
-#include <arpa/inet.h>
 #include <gtest/gtest.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include "ryefold/task/loop.h"
 #include "ryefold/wire/peer.h"
+#include "testsuite/support/wire/raw_socket.h"
 
 namespace ryefold::wire {
 namespace {
@@ -24,25 +21,11 @@
 /// sent, and nothing reads.
 class FrozenPeer {
  public:
-  FrozenPeer() : fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(address);
-    EXPECT_EQ(bind(fd_, reinterpret_cast<sockaddr*>(&address), size), 0);
-    EXPECT_EQ(listen(fd_, 8), 0);
-    getsockname(fd_, reinterpret_cast<sockaddr*>(&address), &size);
-    address_ = LocalAddress(ntohs(address.sin_port));
-  }
-  ~FrozenPeer() { close(fd_); }
-  FrozenPeer(const FrozenPeer&) = delete;
-  FrozenPeer& operator=(const FrozenPeer&) = delete;
-
-  const std::string& address() const { return address_; }
+  FrozenPeer() { EXPECT_NE(listener_.port(), 0); }
+  std::string address() const { return LocalAddress(listener_.port()); }
 
  private:
-  int fd_;
-  std::string address_;
+  const testing::RawListener listener_;
 };
 
 /// Server and client on one loop.
