mirror_in_force: changes of the configuration beside a store with faults; failing, listed

A randomized test in virtual time, and a scenario: instances are killed, suspended and cut off beside a store that keeps silent, is away, slow or forgetful, while changes pile up. Its bound is that of the users: three seconds after the acknowledgement (five behind relays), four (five) after the store's return.

--- a/testsuite/support/mirror/fleet.h
+++ b/testsuite/support/mirror/fleet.h
@@ -33,6 +33,8 @@
 
   milliseconds delay{4};
   bool down = false;
+  /// Takes calls and answers none of them, those that wait neither.
+  bool silent = false;
   /// Instances that get no answer, and those that are told to go away.
   std::set<std::string> silent_to;
   std::set<std::string> refuses;
@@ -111,10 +113,14 @@
     TimePoint deadline;
   };
 
+  bool SilentTo(const std::string& instance) const {
+    return silent || silent_to.count(instance) > 0;
+  }
+
   bool Reached(const std::string& instance, TimePoint deadline,
                const std::function<void(const ReadResult&)>& done) {
     ++calls;
-    if (silent_to.count(instance) > 0) {
+    if (SilentTo(instance)) {
       clock_->At(deadline, [done] { done(ReadError::kUnreachable); });
       return false;
     }
@@ -138,7 +144,7 @@
     if (found == watches_.end()) return;
     const Waiting watch = found->second;
     watches_.erase(found);
-    const bool cut = silent_to.count(watch.instance) > 0;
+    const bool cut = SilentTo(watch.instance);
     if (cut || down) {
       const TimePoint when = cut ? watch.deadline : clock_->now() + delay;
       clock_->At(when, [watch] { watch.done(ReadError::kUnreachable); });
@@ -246,6 +252,11 @@
     }
     return nullptr;
   }
+  size_t Living() const {
+    return static_cast<size_t>(
+        std::count_if(all.begin(), all.end(),
+                      [](const auto& each) { return !each->killed(); }));
+  }
   std::string DomainOf(const std::string& name) const {
     for (const core::mirror::Member& member : members_) {
       if (member.instance == name) return member.failure_domain;
@@ -367,6 +378,8 @@
 
 /// One way between two instances.
 inline constexpr milliseconds kLink{1};
+/// Within this time a relay has to show that it lives, or it is not asked.
+inline constexpr milliseconds kAliveTime{200};
 
 inline void MirrorInstance::AskRelay(const std::string& instance,
                                      uint64_t after, milliseconds wait,
@@ -397,14 +410,24 @@
       });
     });
   };
-  fleet_->clock.After(kLink, [this, instance, question, take, passes, finish] {
+  const TimePoint alive_by = Now() + kAliveTime;
+  const auto taken = std::make_shared<bool>(false);
+  fleet_->clock.At(alive_by, [this, finish, taken] {
+    if (*taken) return;
+    Deliver([finish] { finish(ReadError::kUnreachable); });
+  });
+  fleet_->clock.After(kLink, [=, this] {
     MirrorInstance* relay = fleet_->Find(instance);
     if (!passes()) return;
     if (relay == nullptr) {
       Deliver([finish] { finish(ReadError::kUnreachable); });
       return;
     }
-    relay->Deliver([relay, question, take] { relay->Asked(question, take); });
+    relay->Deliver([=] {
+      if (relay->Now() > alive_by) return;
+      *taken = true;
+      relay->Asked(question, take);
+    });
   });
 }
 
