Sight: an instance knows how old its copy of the store is, and logs what it waited for

To tell from an instance's own lines why a change came late, three things were missing: which call on the store was waited for and how long, since when the copy was known to be current, and what a caller was refused on. store_lost and the new store_call_failed carry call, waited and copy_age; caller_refused carries config_age; GET /status and the metrics show copy_age_ms. Relays pass their copy's age on, reckoned from before the question, so that no clock or delay makes it look younger.

mirror_in_force holds each instance to what it claims: it has everything acknowledged before confirmed_at. No change of logic.

--- a/src/include/ryefold/core/mirror/entry.h
+++ b/src/include/ryefold/core/mirror/entry.h
@@ -3,6 +3,7 @@
 // Keys of the store as instances hold and pass them on.
 
 #include <boost/outcome/result.hpp>
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -38,6 +39,9 @@
   bool whole = false;
   /// Store revision up to which the answer speaks.
   uint64_t as_of = 0;
+  /// How long ago, at the most, all of this was known to be so. 0 for the store
+  /// itself; a relay tells the age of its own copy.
+  std::chrono::milliseconds age{0};
   /// What `ChangeLog::digest` is at the source. Copies with the same digest
   /// hold the same keys at the same revisions.
   std::optional<uint64_t> digest;
--- a/src/include/ryefold/core/mirror/mirror.h
+++ b/src/include/ryefold/core/mirror/mirror.h
@@ -123,6 +123,11 @@
   const ChangeLog& log() const { return log_; }
   /// Store revision that the copy reflects.
   uint64_t as_of() const { return log_.as_of(); }
+  /// The copy holds every change that the store had taken by then. Reckoned
+  /// from before the call whose answer shows it, so that no delay of the answer
+  /// makes the copy look younger than it is. The clock's beginning until the
+  /// first listing.
+  TimePoint confirmed_at() const { return confirmed_at_; }
   /// Whether the copy is kept current from the store itself at present.
   bool follows_store() const { return listed_ && store_good_; }
   /// The instance that it is kept current from; empty for the store.
@@ -142,7 +147,9 @@
   void Take(TimePoint now, const Reading& reading);
   void Compare(const Reading& reading);
   void Tell(TimePoint now, const EntryMap& changed);
-  void StoreFailed(TimePoint now, ReadError error);
+  void Confirm(TimePoint when);
+  void TellStoreFailed(TimePoint now, Call call, ReadError error);
+  void StoreFailed(TimePoint now, Call call, ReadError error);
   void StoreServed(TimePoint now);
   void RelayFailed(TimePoint now, ReadError error);
   void Follow(const std::string& relay);
@@ -163,6 +170,13 @@
   /// What the store holds has to be listed before it can be watched.
   bool list_due_ = true;
   Call call_ = Call::kNone;
+  /// When the call under way was sent.
+  TimePoint sent_at_;
+  /// The watch under way answers then at the latest, if nothing changes.
+  TimePoint watched_until_;
+  /// When the first page of the listing under way was asked for.
+  TimePoint listing_from_;
+  TimePoint confirmed_at_;
   std::string relay_;
   /// The source that was last told of.
   std::string told_relay_;
--- a/src/include/ryefold/core/mirror/relay.h
+++ b/src/include/ryefold/core/mirror/relay.h
@@ -24,6 +24,8 @@
   std::vector<Change> changes;
   uint64_t as_of = 0;
   uint64_t digest = 0;
+  /// `Mirror::confirmed_at`; goes as an age, since clocks differ.
+  TimePoint confirmed_at;
 };
 
 class RelayPort {
@@ -46,8 +48,8 @@
   /// The other side does not wait any more.
   void Gone(RelayCall call) { waiting_.erase(call); }
 
-  /// Whether this instance follows the store.
-  void SetCurrent(bool current);
+  /// Whether this instance follows the store, and `Mirror::confirmed_at`.
+  void SetCurrent(bool current, TimePoint confirmed_at);
   /// The log has taken changes in.
   void Changed();
   void Tick(TimePoint now);
@@ -67,6 +69,7 @@
   const ChangeLog* log_;
   RelayPort* port_;
   bool current_ = false;
+  TimePoint confirmed_at_;
   std::map<RelayCall, Waiting> waiting_;
 };
 
--- a/src/include/ryefold/core/session/proxy.h
+++ b/src/include/ryefold/core/session/proxy.h
@@ -121,6 +121,8 @@
                        Reply reply);
   /// What came of `Forwarder::Probe`.
   void InstanceProbed(TimePoint now, const std::string& instance, bool alive);
+  /// The routes are known to be those that were in force at `when`.
+  void RoutesConfirmed(TimePoint when);
   /// Runs a statement forwarded by another instance; `Forwarder` is given the
   /// answer. The caller ends, for one that was answered outside of a
   /// transaction, with `CallerGone`.
--- a/src/include/ryefold/wire/mirror_codec.h
+++ b/src/include/ryefold/wire/mirror_codec.h
@@ -25,8 +25,9 @@
 std::optional<RelayQuestion> ReadRelayQuestion(std::string_view body);
 
 /// Large values travel as the difference to what the other side holds, and the
-/// whole is compressed.
-std::string WriteRelayAnswer(const core::mirror::RelayAnswer& answer);
+/// whole is compressed. The age of the relay's copy is reckoned at `now`.
+std::string WriteRelayAnswer(core::TimePoint now,
+                             const core::mirror::RelayAnswer& answer);
 
 /// The entry that this side holds under a key; null when it holds none.
 using EntryLookup =
--- a/src/libcore/mirror/mirror.cc
+++ b/src/libcore/mirror/mirror.cc
@@ -80,6 +80,8 @@
 
 void Mirror::List(TimePoint now) {
   call_ = Call::kList;
+  sent_at_ = now;
+  if (listing_.empty()) listing_from_ = now;
   constexpr uint32_t kMostDoublings = 3;
   const std::string after = listing_.empty() ? "" : listing_.rbegin()->first;
   const milliseconds grace =
@@ -102,11 +104,14 @@
     grace = timing_.trial_grace;
   }
   call_ = Call::kWatch;
+  sent_at_ = now;
+  watched_until_ = now + wait;
   port_->WatchStore(as_of(), wait, now + wait + grace);
 }
 
 void Mirror::AskRelay(TimePoint now) {
   call_ = Call::kAsk;
+  sent_at_ = now;
   listing_.clear();  // a listing that was begun is not gone on with later
   const uint64_t after = ask_all_ ? 0 : as_of();
   port_->AskRelay(relay_, after, timing_.ask_wait,
@@ -128,9 +133,10 @@
       list_due_ = false;
       Take(now, result.value());
       Compare(result.value());
+      Confirm(sent_at_ - result.value().age);
     }
   } else if (!result) {
-    StoreFailed(now, result.error());
+    StoreFailed(now, call, result.error());
   } else {
     StoreServed(now);
     SourceServed();
@@ -138,11 +144,19 @@
       PageListed(now, result.value());
     } else {
       Take(now, result.value());
+      // Without changes it was answered no sooner than its wait was over.
+      const bool waited_out = result.value().entries.empty();
+      Confirm(waited_out ? std::min(watched_until_, now) : sent_at_);
     }
   }
   Next(now);
 }
 
+/// A relay's copy may be older than this one.
+void Mirror::Confirm(TimePoint when) {
+  confirmed_at_ = std::max(confirmed_at_, when);
+}
+
 void Mirror::PageListed(TimePoint now, const Reading& page) {
   // Pages are no snapshot: watching from the first page's revision on brings
   // whatever changed while the others were read.
@@ -154,6 +168,7 @@
   reread_at_ = now + timing_.reread;
   const EntryMap listing = std::exchange(listing_, EntryMap());
   TakeAll(now, listing, listing_as_of_);
+  Confirm(listing_from_);
 }
 
 void Mirror::TakeAll(TimePoint now, const EntryMap& listing, uint64_t as_of) {
@@ -231,7 +246,21 @@
   return longest / 2 + milliseconds(half(random_));
 }
 
-void Mirror::StoreFailed(TimePoint now, ReadError error) {
+/// Says how long was waited for what: a call that outlasts the silence in which
+/// it was sent shows here, and by how much the copy has aged meanwhile.
+void Mirror::TellStoreFailed(TimePoint now, Call call, ReadError error) {
+  const bool first = failing_since_ == TimePoint();
+  Event line(events_, EventWeight::kState,
+             first ? "store_lost" : "store_call_failed");
+  line.Add("error", ReadErrorName(error))
+      .Add("call", call == Call::kList ? "list" : "watch")
+      .Add("waited", now - sent_at_)
+      .Add("as_of", as_of());
+  if (listed_) line.Add("copy_age", now - confirmed_at_);
+}
+
+void Mirror::StoreFailed(TimePoint now, Call call, ReadError error) {
+  TellStoreFailed(now, call, error);
   listing_.clear();
   list_due_ = true;
   // Changes may have been made that the watch did not bring; the store itself
@@ -247,20 +276,16 @@
   const bool rest = relayed && plan_.follows_store;
   store_not_before_ = now + (rest ? timing_.store_again : RetryPause());
   store_until_ = TimePoint();
-  if (failing_since_ != TimePoint()) return;
-  failing_since_ = now;
-  Event(events_, EventWeight::kState, "store_lost")
-      .Add("error", ReadErrorName(error))
-      .Add("as_of", as_of());
+  if (failing_since_ == TimePoint()) failing_since_ = now;
 }
 
 void Mirror::StoreServed(TimePoint now) {
   store_good_ = true;
   failures_ = 0;
   if (failing_since_ == TimePoint()) return;
-  Event(events_, EventWeight::kState, "store_regained")
-      .Add("after", now - failing_since_)
-      .Add("as_of", as_of());
+  Event line(events_, EventWeight::kState, "store_regained");
+  line.Add("after", now - failing_since_).Add("as_of", as_of());
+  if (listed_) line.Add("copy_age", now - confirmed_at_);
   failing_since_ = TimePoint();
 }
 
--- a/src/libcore/mirror/relay.cc
+++ b/src/libcore/mirror/relay.cc
@@ -11,6 +11,7 @@
   if (!current_) return answer;
   answer.as_of = log_->as_of();
   answer.digest = log_->digest();
+  answer.confirmed_at = confirmed_at_;
   auto changes = after == 0 ? std::nullopt : log_->Since(after);
   answer.whole = !changes.has_value();
   answer.changes = answer.whole ? log_->All() : std::move(*changes);
@@ -39,7 +40,8 @@
   }
 }
 
-void Relay::SetCurrent(bool current) {
+void Relay::SetCurrent(bool current, TimePoint confirmed_at) {
+  confirmed_at_ = confirmed_at;
   if (current == current_) return;
   current_ = current;
   if (!current) AnswerIf([](const Waiting&) { return true; });
--- a/src/libcore/session/proxy.cc
+++ b/src/libcore/session/proxy.cc
@@ -205,6 +205,7 @@
 TimePoint Proxy::next_deadline() const { return impl_->next_deadline(); }
 bool Proxy::ready() const { return impl_->ready(); }
 bool Proxy::LacksDatabases() const { return impl_->LacksDatabases(); }
+void Proxy::RoutesConfirmed(TimePoint when) { impl_->RoutesConfirmed(when); }
 uint64_t Proxy::route_version() const { return impl_->route_version(); }
 std::vector<GroupView> Proxy::groups(TimePoint now) const {
   return impl_->Views(now);
--- a/src/libcore/session/proxy_callers.cc
+++ b/src/libcore/session/proxy_callers.cc
@@ -26,7 +26,7 @@
 
 }  // namespace
 
-void Proxy::Impl::CallerStarted(TimePoint /*now*/, CallerId id,
+void Proxy::Impl::CallerStarted(TimePoint now, CallerId id,
                                 const std::string& route) {
   // Others are further, as a rule: kept waiting here, fewer callers were served
   // within their goals after a loss of all power (942 of 3,864 in the two
@@ -41,7 +41,8 @@
         .Add("caller", id)
         .Add("database", route)
         .Add("reason", "no_route")
-        .Add("config_version", table_.version);
+        .Add("config_version", table_.version)
+        .Add("config_age", now - routes_confirmed_at_);
     port_->CloseCaller(id, ErrorCode::kNoRoute, route);
     return;
   }
--- a/src/libcore/session/proxy_impl.h
+++ b/src/libcore/session/proxy_impl.h
@@ -92,6 +92,7 @@
   bool drained() const { return draining_ && callers_.empty(); }
   size_t callers() const { return callers_.size(); }
   uint64_t route_version() const { return table_.version; }
+  void RoutesConfirmed(TimePoint when) { routes_confirmed_at_ = when; }
   const ProxyCounters& counters() const { return counters_; }
 
  private:
@@ -264,6 +265,7 @@
   AnswerObserver* observer_;
 
   RouteTable table_;
+  TimePoint routes_confirmed_at_;
   std::map<std::string, std::shared_ptr<const Route>> routes_;
   bool have_routes_ = false;
   bool have_roster_ = false;
--- a/src/libwire/mirror_codec.cc
+++ b/src/libwire/mirror_codec.cc
@@ -1,5 +1,6 @@
 #include "ryefold/wire/mirror_codec.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -48,10 +49,11 @@
   bool whole = false;
   uint64_t as_of = 0;
   uint64_t digest = 0;
+  int64_t age_ms = 0;
   std::vector<ChangeMap> changes;
   MSGPACK_DEFINE_MAP(MSGPACK_NVP("o", current), MSGPACK_NVP("w", whole),
                      MSGPACK_NVP("a", as_of), MSGPACK_NVP("h", digest),
-                     MSGPACK_NVP("c", changes))
+                     MSGPACK_NVP("y", age_ms), MSGPACK_NVP("c", changes))
 };
 
 ChangeMap ToMap(const Change& change) {
@@ -108,12 +110,14 @@
   return RelayQuestion{map.after, milliseconds(map.wait_ms)};
 }
 
-std::string WriteRelayAnswer(const RelayAnswer& answer) {
+std::string WriteRelayAnswer(core::TimePoint now, const RelayAnswer& answer) {
   AnswerMap map;
   map.current = answer.current;
   map.whole = answer.whole;
   map.as_of = answer.as_of;
   map.digest = answer.digest;
+  map.age_ms =
+      std::chrono::ceil<milliseconds>(now - answer.confirmed_at).count();
   map.changes.reserve(answer.changes.size());
   for (const Change& change : answer.changes) {
     map.changes.push_back(ToMap(change));
@@ -130,6 +134,7 @@
   reading.whole = map.whole;
   reading.as_of = map.as_of;
   reading.digest = map.digest;
+  reading.age = milliseconds(std::max<int64_t>(map.age_ms, 0));
   for (ChangeMap& change : map.changes) {
     Entry entry;
     switch (FromMap(std::move(change), lookup, &entry)) {
--- a/src/ryefoldd/gateway_metrics.cc
+++ b/src/ryefoldd/gateway_metrics.cc
@@ -100,7 +100,8 @@
 void GatewayMetrics::Update(const std::vector<core::session::GroupView>& groups,
                             const core::session::ProxyCounters& counters,
                             size_t callers, uint64_t route_version,
-                            uint64_t lines_left_out, uint64_t store_calls) {
+                            uint64_t lines_left_out, uint64_t store_calls,
+                            std::chrono::milliseconds copy_age) {
   impl_->Figure("callers", callers);
   impl_->Figure("config_version", route_version);
   impl_->Figure("answered", counters.answered);
@@ -111,6 +112,7 @@
   impl_->Figure("connections_opened", counters.connections_opened);
   impl_->Figure("log_lines_left_out", lines_left_out);
   impl_->Figure("store_calls", store_calls);
+  impl_->Figure("copy_age_ms", static_cast<uint64_t>(copy_age.count()));
   for (const core::session::GroupView& group : groups) {
     for (const core::session::DatabaseView& database : group.databases) {
       impl_->DatabaseFigure(database.id, "primary", database.primary ? 1 : 0);
--- a/src/ryefoldd/gateway_metrics.h
+++ b/src/ryefoldd/gateway_metrics.h
@@ -26,7 +26,7 @@
   void Update(const std::vector<core::session::GroupView>& groups,
               const core::session::ProxyCounters& counters, size_t callers,
               uint64_t route_version, uint64_t lines_left_out,
-              uint64_t store_calls);
+              uint64_t store_calls, std::chrono::milliseconds copy_age);
   /// The page in Prometheus' text form.
   std::string Text() const;
 
--- a/src/ryefoldd/gateway_status.cc
+++ b/src/ryefoldd/gateway_status.cc
@@ -63,6 +63,7 @@
   value["callers"] = static_cast<Json::UInt64>(status.callers);
   value["relay"] = status.relay;
   value["as_of"] = static_cast<Json::UInt64>(status.as_of);
+  value["copy_age_ms"] = static_cast<Json::Int64>(status.copy_age.count());
   value["listeners"] = static_cast<Json::UInt64>(status.listeners);
   value["duty_holder"] = status.duty_holder;
   value["instances"] = Json::arrayValue;
--- a/src/ryefoldd/gateway_status.h
+++ b/src/ryefoldd/gateway_status.h
@@ -2,6 +2,7 @@
 
 // What a gateway knows, for operators: `GET /status` beside its metrics.
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -21,6 +22,8 @@
   std::string relay;
   /// Store revision that has been read.
   uint64_t as_of = 0;
+  /// Since what was read was last known to be all there is.
+  std::chrono::milliseconds copy_age{0};
   /// Instances that wait for news from here.
   size_t listeners = 0;
   /// Who orders promotions, as far as is known here.
--- a/src/ryefoldd/gateway_task.cc
+++ b/src/ryefoldd/gateway_task.cc
@@ -145,6 +145,8 @@
           Rearm();
           return PaceAfter(changed);
         });
+    mirror_->OnConfirmed(
+        [this](core::TimePoint when) { proxy_->RoutesConfirmed(when); });
   }
 
   core::mirror::WatchPace PaceAfter(
@@ -289,7 +291,7 @@
     } else if (exchange.path() == "/metrics") {
       metrics_.Update(proxy_->groups(BootTime()), proxy_->counters(),
                       proxy_->callers(), proxy_->route_version(),
-                      events_->left_out(), store_->calls());
+                      events_->left_out(), store_->calls(), CopyAge());
       reply.body = metrics_.Text();
       reply.content_type = "text/plain; version=0.0.4";
     } else if (exchange.path() == "/status") {
@@ -300,6 +302,13 @@
     exchange.Reply(reply);
   }
 
+  /// Time since the copy of the store was last known to be current; since the
+  /// machine's start, where it never was.
+  milliseconds CopyAge() const {
+    return std::chrono::duration_cast<milliseconds>(BootTime() -
+                                                    mirror_->confirmed_at());
+  }
+
   GatewayStatus Status() const {
     GatewayStatus status;
     status.instance = settings_.name;
@@ -309,6 +318,7 @@
     status.callers = proxy_->callers();
     status.relay = mirror_->relay();
     status.as_of = mirror_->as_of();
+    status.copy_age = CopyAge();
     status.listeners = mirror_->listeners();
     status.duty_holder = failover_->duty_holder();
     status.instances = instances_;
--- a/src/ryefoldd/mirror_host.cc
+++ b/src/ryefoldd/mirror_host.cc
@@ -57,7 +57,7 @@
 
 void MirrorHost::Retire() {
   retired_ = true;
-  relay_.SetCurrent(false);
+  relay_.SetCurrent(false, mirror_.confirmed_at());
 }
 
 void MirrorHost::ListStore(const std::string& after, core::TimePoint deadline) {
@@ -105,8 +105,10 @@
 
 void MirrorHost::Answered(const ReadResult& result) {
   mirror_.Answered(BootTime(), result);
-  relay_.SetCurrent(mirror_.follows_store() && !retired_);
+  relay_.SetCurrent(mirror_.follows_store() && !retired_,
+                    mirror_.confirmed_at());
   relay_.Changed();
+  if (confirmed_) confirmed_(mirror_.confirmed_at());
   Rearm();
 }
 
@@ -137,7 +139,7 @@
   if (found == calls_.end()) return;
   const wire::PeerCall waiting = found->second;
   calls_.erase(found);
-  waiting.Reply(wire::WriteRelayAnswer(answer));
+  waiting.Reply(wire::WriteRelayAnswer(BootTime(), answer));
 }
 
 void MirrorHost::Tick() {
--- a/src/ryefoldd/mirror_host.h
+++ b/src/ryefoldd/mirror_host.h
@@ -4,8 +4,10 @@
 // on other instances, and their calls on this one.
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "ryefold/core/event.h"
@@ -35,7 +37,13 @@
   /// This instance is leaving: others have to hear from another.
   void Retire();
 
+  /// Told `Mirror::confirmed_at` after each answer of a source.
+  void OnConfirmed(std::function<void(core::TimePoint)> confirmed) {
+    confirmed_ = std::move(confirmed);
+  }
+
   uint64_t as_of() const { return mirror_.as_of(); }
+  core::TimePoint confirmed_at() const { return mirror_.confirmed_at(); }
   /// Instances that wait for news from here.
   size_t listeners() const { return relay_.waiting(); }
   /// Instance that changes are heard from; empty: the store itself.
@@ -63,6 +71,7 @@
   core::EventSink* events_;
   core::mirror::Mirror mirror_;
   core::mirror::Relay relay_;
+  std::function<void(core::TimePoint)> confirmed_;
   bool retired_ = false;
   core::mirror::RelayCall last_call_ = 0;
   std::map<core::mirror::RelayCall, wire::PeerCall> calls_;
--- a/testsuite/mirror_in_force/in_force_test.cc
+++ b/testsuite/mirror_in_force/in_force_test.cc
@@ -227,25 +227,36 @@
     calm_from_[name] = std::max(calm_from_[name], until);
   }
 
-  void Judge() {
-    if (Now() < store_well_at_ + bounds_.calm) return;
-    uint64_t due = 0;
-    for (const auto& [when, revision] : acknowledged_) {
-      if (when + bounds_.in_force <= Now()) due = revision;
+  /// The newest revision that had been acknowledged before `when`.
+  uint64_t AcknowledgedBefore(TimePoint when) const {
+    uint64_t newest = 0;
+    for (const auto& [at, revision] : acknowledged_) {
+      if (at < when) newest = revision;
     }
+    return newest;
+  }
+
+  void Judge() {
     for (const auto& each : fleet_.all) {
-      if (each->killed() || Now() < calm_from_[each->name()] + bounds_.calm) {
-        continue;
-      }
-      const auto found = each->entries().find(kConfig);
-      const uint64_t held =
-          found == each->entries().end() ? 0 : found->second.revision;
-      if (held >= due) continue;
-      late_ = each->name() + " holds " + std::to_string(held) + " of " +
-              std::to_string(due);
-      Tell(late_);
+      if (each->killed()) continue;
+      // What an instance says of its copy's age holds in any weather.
+      Require(*each, AcknowledgedBefore(each->mirror().confirmed_at()),
+              "claims");
+      const TimePoint calm = std::max(store_well_at_, calm_from_[each->name()]);
+      if (Now() < calm + bounds_.calm) continue;
+      Require(*each, AcknowledgedBefore(Now() - bounds_.in_force), "needs");
     }
   }
+  void Require(const MirrorInstance& instance, uint64_t revision,
+               const std::string& verb) {
+    const auto found = instance.entries().find(kConfig);
+    const uint64_t held =
+        found == instance.entries().end() ? 0 : found->second.revision;
+    if (held >= revision) return;
+    late_ = instance.name() + " " + verb + " " + std::to_string(revision) +
+            " and holds " + std::to_string(held);
+    Tell(late_);
+  }
 
   std::mt19937_64 random_;
   const Bounds bounds_;
--- a/testsuite/support/mirror/fleet.h
+++ b/testsuite/support/mirror/fleet.h
@@ -357,7 +357,7 @@
     fleet_->faults.push_back(name_ + " went back");
   }
   newest_seen_ = mirror_.as_of();
-  relay_.SetCurrent(mirror_.follows_store());
+  relay_.SetCurrent(mirror_.follows_store(), mirror_.confirmed_at());
   relay_.Changed();
 }
 
@@ -446,7 +446,7 @@
   if (found == calls_.end()) return;
   const auto done = found->second;
   calls_.erase(found);
-  done(wire::WriteRelayAnswer(answer));
+  done(wire::WriteRelayAnswer(Now(), answer));
 }
 
 }  // namespace ryefold::testsuite
