An instance with the store in reach does not rest on a relay whose copy is old

What callers would see: served by a configuration that is no longer in force, more than 3 s after the change and 4 s after the store's trouble. Cause: after its own watch had failed an instance listened to a relay for 3 s before it tried the store again. The relay lived and said that it followed the store while its own watch hung, so that it knew nothing either. Ruled out: the watch's own bound, which was kept. Change: the relay tells its copy's age; unless that is under 1.5 s after half a second, the store is tried again then.

--- a/src/include/ryefold/core/mirror/mirror.h
+++ b/src/include/ryefold/core/mirror/mirror.h
@@ -35,9 +35,10 @@
   /// second.
   std::chrono::milliseconds grace{6000};
   /// Silence after which a listing is given up. Not longer with each failure: a
-  /// store that was silent is back at some moment, and what is waited for beyond
-  /// that is time without its changes, of which the strictest deployment allows
-  /// 3 s. A store that takes more than this to begin an answer cannot be listed.
+  /// store that was silent is back at some moment, and what is waited for
+  /// beyond that is time without its changes, of which the strictest deployment
+  /// allows 3 s. A store that takes more than this to begin an answer cannot be
+  /// listed.
   std::chrono::milliseconds list_silence{2000};
   /// Wait of the first watch at a store that has failed, and silence beyond it:
   /// until it is answered nothing is heard of, by relays neither.
@@ -85,6 +86,13 @@
   /// left, where it should not.
   std::chrono::milliseconds store_again{3000};
   std::chrono::milliseconds relays_again{2000};
+  /// A relay in whose place the store could be followed has this long to show a
+  /// copy that is no older than `fresh`. It lives and says in good faith that
+  /// it follows the store while its own watch hangs, for up to three seconds;
+  /// an instance that rested on its word would serve by an old configuration
+  /// with the store in reach.
+  std::chrono::milliseconds proof{500};
+  std::chrono::milliseconds fresh{1500};
 };
 
 /// How soon the next watch is wanted.
@@ -155,6 +163,7 @@
   void TellStoreFailed(TimePoint now, Call call, ReadError error);
   void StoreFailed(TimePoint now, Call call, ReadError error);
   void StoreServed(TimePoint now);
+  void RelayServed(TimePoint now, const Reading& reading);
   void RelayFailed(TimePoint now, ReadError error);
   void Follow(const std::string& relay);
   void SourceServed();
@@ -191,6 +200,7 @@
   /// passed over.
   std::map<std::string, TimePoint> relay_not_before_;
   TimePoint store_not_before_;
+  TimePoint store_failed_at_;
   /// The store is followed until then though the plan says otherwise.
   TimePoint store_until_;
   TimePoint failing_since_;
--- a/src/libcore/mirror/mirror.cc
+++ b/src/libcore/mirror/mirror.cc
@@ -110,8 +110,12 @@
   sent_at_ = now;
   listing_.clear();  // a listing that was begun is not gone on with later
   const uint64_t after = ask_all_ ? 0 : as_of();
-  port_->AskRelay(relay_, after, timing_.ask_wait,
-                  now + timing_.ask_wait + timing_.ask_grace);
+  milliseconds wait = timing_.ask_wait;
+  const TimePoint proof_by = store_failed_at_ + timing_.proof;
+  if (plan_.follows_store && now < proof_by) {
+    wait = std::min(wait, std::chrono::ceil<milliseconds>(proof_by - now));
+  }
+  port_->AskRelay(relay_, after, wait, now + wait + timing_.ask_grace);
 }
 
 void Mirror::Answered(TimePoint now, const ReadResult& result) {
@@ -123,13 +127,7 @@
     } else if (behind) {
       RelayFailed(now, ReadError::kNotCurrent);
     } else {
-      ask_all_ = false;
-      SourceServed();
-      // The copy is as good as a listing: the store can be watched from here.
-      list_due_ = false;
-      Take(now, result.value());
-      Compare(result.value());
-      Confirm(sent_at_ - result.value().age);
+      RelayServed(now, result.value());
     }
   } else if (!result) {
     StoreFailed(now, call, result.error());
@@ -266,6 +264,7 @@
   }
   store_good_ = false;
   ++failures_;
+  store_failed_at_ = now;
   const bool relayed = listed_ && !ChooseRelay(now).empty();
   const bool rest = relayed && plan_.follows_store;
   store_not_before_ = now + (rest ? timing_.store_again : RetryPause());
@@ -283,6 +282,19 @@
   failing_since_ = TimePoint();
 }
 
+void Mirror::RelayServed(TimePoint now, const Reading& reading) {
+  ask_all_ = false;
+  SourceServed();
+  // The copy is as good as a listing: the store can be watched from here.
+  list_due_ = false;
+  Take(now, reading);
+  Compare(reading);
+  Confirm(sent_at_ - reading.age);
+  if (!plan_.follows_store || now - confirmed_at_ <= timing_.fresh) return;
+  const TimePoint soon = std::max(now, store_failed_at_ + timing_.proof);
+  store_not_before_ = std::min(store_not_before_, soon);
+}
+
 void Mirror::RelayFailed(TimePoint now, ReadError error) {
   if (error == ReadError::kHistoryGone && !ask_all_) {
     ask_all_ = true;
--- a/testsuite/mirror_in_force/in_force_test.cc
+++ b/testsuite/mirror_in_force/in_force_test.cc
@@ -325,6 +325,16 @@
   PlaySeeds(kSmall, 3, 12, kSeeds);
 }
 
+// The store forgets its watches. An instance whose watch is given up listens to
+// another that says in good faith that it follows the store, while its own
+// watch hangs as well. It rests on that for seconds, with the store in reach,
+// and its callers are served by a configuration that is no longer in force.
+TEST(MirrorInForce, ARelayThatIsItselfBehindIsNotReliedOn) {
+  for (const uint64_t seed : {20262826}) {
+    InForceRun(seed, kSmall, 3, 12).Run();
+  }
+}
+
 TEST(MirrorInForce, ChangesAreInForceInTimeBehindRelays) {
   PlaySeeds(kLarge, 17, 60, kSeeds / 5);
 }
