A change that arrives slowly is heard out

What callers would see: an instance on a slow link serves by an old configuration for good once a change takes more than a second to arrive. Cause: a watch was given up a second after its wait, answer under way or not, and the short watch that follows a failure after 0.9 s; neither can bring a change of a megabyte over ten megabits a second, and a listing is only asked for once a watch has been answered. Change: only silence is bounded so; an answer that is coming has six seconds, as a listing has. Test: mirror_fleet TakesAChangeThatArrivesSlowly, 20 s and no end in one of ten phases; passes.

--- a/src/libcore/mirror/mirror.cc
+++ b/src/libcore/mirror/mirror.cc
@@ -102,7 +102,10 @@
   call_ = Call::kWatch;
   sent_at_ = now;
   watched_until_ = now + wait;
-  port_->WatchStore(as_of(), wait, {now + wait + silence, wait + silence});
+  // A change can be as large as a listing; cut short it would be asked for over
+  // and over, and never be in force.
+  const TimePoint deadline = now + wait + timing_.grace;
+  port_->WatchStore(as_of(), wait, {deadline, wait + silence});
 }
 
 void Mirror::AskRelay(TimePoint now) {
--- a/testsuite/mirror_fleet/fleet_test.cc
+++ b/testsuite/mirror_fleet/fleet_test.cc
@@ -215,6 +215,22 @@
   }
 }
 
+// A configuration has grown to a megabyte, and the slowest links carry ten
+// megabits a second: a change of it takes a second to arrive. An instance that
+// gave the answer up meanwhile would ask for it again and again, and serve by
+// the old configuration for good.
+TEST(MirrorFleet, TakesAChangeThatArrivesSlowly) {
+  for (int phase = 0; phase < 10; ++phase) {
+    MirrorFleet fleet(1, 1);
+    fleet.store.bytes_per_ms = 1250;
+    fleet.Start();
+    fleet.RunFor(milliseconds(250 * phase));
+    fleet.store.Put("config", std::string(1400000, 'x'));
+    EXPECT_LT(fleet.TimeUntilLevel(milliseconds(20000)).count(), 3000)
+        << "phase " << phase;
+  }
+}
+
 // The store is away for all. Instances that hear from relays must not all turn
 // to it at once, again and again: it would have to answer them first of all
 // when it comes back.
--- a/testsuite/support/mirror/fleet.h
+++ b/testsuite/support/mirror/fleet.h
@@ -34,6 +34,8 @@
   explicit FakeStoreKeys(VirtualClock* clock) : clock_(clock) {}
 
   milliseconds delay{4};
+  /// What a link carries in a millisecond; 0: any amount.
+  uint64_t bytes_per_ms = 0;
   bool down = false;
   /// Takes calls and answers none of them, those that wait neither.
   bool silent = false;
@@ -65,7 +67,7 @@
   void LoseWatches() {
     for (const auto& entry : watches_) {
       const Waiting watch = entry.second;
-      clock_->At(watch.deadline,
+      clock_->At(watch.given_up,
                  [watch] { watch.done(ReadError::kUnreachable); });
     }
     watches_.clear();
@@ -86,7 +88,7 @@
       }
       page.entries.push_back(it->second);
     }
-    clock_->After(delay, [done, page] { done(page); });
+    Send(page, limits.deadline, done);
   }
 
   void Watch(const std::string& instance, uint64_t after, milliseconds wait,
@@ -98,7 +100,8 @@
       return;
     }
     const uint64_t number = ++last_watch_;
-    watches_[number] = {instance, after, done, GivenUp(limits)};
+    watches_[number] = {instance, after, done, GivenUp(limits),
+                        limits.deadline};
     clock_->After(wait, [this, number] { Answer(number); });
     if (after < revision_) Answer(number);
   }
@@ -112,9 +115,25 @@
     std::string instance;
     uint64_t after = 0;
     std::function<void(const ReadResult&)> done;
+    /// When it is given up if nothing comes, and in any case.
+    TimePoint given_up;
     TimePoint deadline;
   };
 
+  /// An answer arrives over the link, unless that takes too long.
+  void Send(const Reading& reading, TimePoint deadline,
+            const std::function<void(const ReadResult&)>& done) {
+    uint64_t bytes = 0;
+    for (const Entry& entry : reading.entries) bytes += entry.value.size();
+    const uint64_t takes = bytes_per_ms == 0 ? 0 : bytes / bytes_per_ms;
+    const TimePoint arrives = clock_->now() + delay + milliseconds(takes);
+    if (arrives > deadline) {
+      clock_->At(deadline, [done] { done(ReadError::kUnreachable); });
+    } else {
+      clock_->At(arrives, [done, reading] { done(reading); });
+    }
+  }
+
   bool SilentTo(const std::string& instance) const {
     return silent || silent_to.count(instance) > 0;
   }
@@ -153,7 +172,7 @@
     watches_.erase(found);
     const bool cut = SilentTo(watch.instance);
     if (cut || down) {
-      const TimePoint when = cut ? watch.deadline : clock_->now() + delay;
+      const TimePoint when = cut ? watch.given_up : clock_->now() + delay;
       clock_->At(when, [watch] { watch.done(ReadError::kUnreachable); });
       return;
     }
@@ -162,7 +181,7 @@
     for (const Entry& entry : history_) {
       if (entry.revision > watch.after) events.entries.push_back(entry);
     }
-    clock_->After(delay, [watch, events] { watch.done(events); });
+    Send(events, watch.deadline, watch.done);
   }
 
   VirtualClock* clock_;
