An instance that has missed changes is no source for others until it has listed anew

What callers would see: instances that hear from another rest on it while it lists a large store over a slow link, and serve by a configuration that another relay could have told them has changed. Cause: told that history is gone, an instance went on saying that it was current until its listing was over, though it knew that it had missed changes. Change: it catches up meanwhile: those who wait go on waiting, for as long as they have asked for, and are then told to ask elsewhere. Not at once: after a store has dropped its history all relays list it in the same moment, and the fleet would join them. Test: mirror_fleet IsNoSourceForOthersWhileItKnowsThatItHasMissedChanges failed, passes; LetsOthersWaitWhileItCatchesUp.

--- a/src/include/ryefold/core/mirror/mirror.h
+++ b/src/include/ryefold/core/mirror/mirror.h
@@ -15,6 +15,7 @@
 #include "ryefold/core/event.h"
 #include "ryefold/core/mirror/change_log.h"
 #include "ryefold/core/mirror/entry.h"
+#include "ryefold/core/mirror/relay.h"
 #include "ryefold/core/mirror/relay_plan.h"
 #include "ryefold/core/types.h"
 
@@ -142,6 +143,10 @@
   TimePoint confirmed_at() const { return confirmed_at_; }
   /// Whether the copy is kept current from the store itself at present.
   bool follows_store() const { return listed_ && store_good_; }
+  /// What others may hear from this instance. One that knows that it has missed
+  /// changes is no source for them until it has listed the store anew, which
+  /// takes seconds on a slow link.
+  RelayState relay_state() const;
   /// The instance that it is kept current from; empty for the store.
   const std::string& relay() const { return relay_; }
 
@@ -196,6 +201,8 @@
   /// A relay could not tell the differences: it is asked for everything.
   bool ask_all_ = false;
   bool store_good_ = false;
+  /// The store has said that history is gone, and was not listed since.
+  bool missed_changes_ = false;
   /// Relays that have failed since they last answered, until when they are
   /// passed over.
   std::map<std::string, TimePoint> relay_not_before_;
--- a/src/include/ryefold/core/mirror/relay.h
+++ b/src/include/ryefold/core/mirror/relay.h
@@ -28,6 +28,13 @@
   TimePoint confirmed_at;
 };
 
+/// What this instance can tell others about the store.
+enum class RelayState : uint8_t {
+  kNotCurrent,  ///< It does not follow the store: others have to ask elsewhere.
+  kCatchingUp,  ///< It has missed changes and is listing the store anew.
+  kCurrent,
+};
+
 class RelayPort {
  public:
   virtual ~RelayPort() = default;
@@ -48,8 +55,8 @@
   /// The other side does not wait any more.
   void Gone(RelayCall call) { waiting_.erase(call); }
 
-  /// Whether this instance follows the store, and `Mirror::confirmed_at`.
-  void SetCurrent(bool current, TimePoint confirmed_at);
+  /// `Mirror::relay_state` and `Mirror::confirmed_at`.
+  void SetState(RelayState state, TimePoint confirmed_at);
   /// The log has taken changes in.
   void Changed();
   void Tick(TimePoint now);
@@ -68,7 +75,7 @@
 
   const ChangeLog* log_;
   RelayPort* port_;
-  bool current_ = false;
+  RelayState state_ = RelayState::kNotCurrent;
   TimePoint confirmed_at_;
   std::map<RelayCall, Waiting> waiting_;
 };
--- a/src/libcore/mirror/mirror.cc
+++ b/src/libcore/mirror/mirror.cc
@@ -149,6 +149,11 @@
   Next(now);
 }
 
+RelayState Mirror::relay_state() const {
+  if (!follows_store()) return RelayState::kNotCurrent;
+  return missed_changes_ ? RelayState::kCatchingUp : RelayState::kCurrent;
+}
+
 /// A relay's copy may be older than this one.
 void Mirror::Confirm(TimePoint when) {
   confirmed_at_ = std::max(confirmed_at_, when);
@@ -162,6 +167,7 @@
   list_due_ = page.more && !page.entries.empty();
   if (list_due_) return;
   reread_at_ = now + timing_.reread;
+  missed_changes_ = false;
   const EntryMap listing = std::exchange(listing_, EntryMap());
   TakeAll(now, listing, listing_as_of_);
   Confirm(listing_from_);
@@ -263,6 +269,7 @@
   // is well.
   if (error == ReadError::kHistoryGone) {
     store_good_ = true;
+    missed_changes_ = true;
     return;
   }
   store_good_ = false;
@@ -290,6 +297,7 @@
   SourceServed();
   // The copy is as good as a listing: the store can be watched from here.
   list_due_ = false;
+  missed_changes_ = false;
   Take(now, reading);
   Compare(reading);
   Confirm(sent_at_ - reading.age);
--- a/src/libcore/mirror/relay.cc
+++ b/src/libcore/mirror/relay.cc
@@ -7,8 +7,8 @@
 
 RelayAnswer Relay::AnswerFor(uint64_t after) const {
   RelayAnswer answer;
-  answer.current = current_;
-  if (!current_) return answer;
+  answer.current = state_ == RelayState::kCurrent;
+  if (!answer.current) return answer;
   answer.as_of = log_->as_of();
   answer.digest = log_->digest();
   answer.confirmed_at = confirmed_at_;
@@ -20,8 +20,9 @@
 
 void Relay::Asked(TimePoint now, RelayCall call, uint64_t after,
                   TimePoint wait_until) {
-  const bool news = after < log_->as_of();
-  if (!current_ || news || now >= wait_until) {
+  const bool current = state_ == RelayState::kCurrent;
+  const bool news = current && after < log_->as_of();
+  if (state_ == RelayState::kNotCurrent || news || now >= wait_until) {
     port_->AnswerRelayed(call, AnswerFor(after));
     return;
   }
@@ -40,14 +41,18 @@
   }
 }
 
-void Relay::SetCurrent(bool current, TimePoint confirmed_at) {
+void Relay::SetState(RelayState state, TimePoint confirmed_at) {
   confirmed_at_ = confirmed_at;
-  if (current == current_) return;
-  current_ = current;
-  if (!current) AnswerIf([](const Waiting&) { return true; });
+  if (std::exchange(state_, state) == state) return;
+  // While it catches up they wait on: told at once that it is not current, all
+  // of them would turn to the store in the moment that all relays list it.
+  if (state == RelayState::kNotCurrent) {
+    AnswerIf([](const Waiting&) { return true; });
+  }
 }
 
 void Relay::Changed() {
+  if (state_ != RelayState::kCurrent) return;
   const uint64_t as_of = log_->as_of();
   AnswerIf([as_of](const Waiting& each) { return each.after < as_of; });
 }
--- a/src/ryefoldd/mirror_host.cc
+++ b/src/ryefoldd/mirror_host.cc
@@ -14,6 +14,7 @@
 using core::EventWeight;
 using core::mirror::ReadError;
 using core::mirror::ReadResult;
+using core::mirror::RelayState;
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 using task::BootTime;
@@ -57,7 +58,7 @@
 
 void MirrorHost::Retire() {
   retired_ = true;
-  relay_.SetCurrent(false, mirror_.confirmed_at());
+  relay_.SetState(RelayState::kNotCurrent, mirror_.confirmed_at());
 }
 
 void MirrorHost::ListStore(const std::string& after,
@@ -106,8 +107,8 @@
 
 void MirrorHost::Answered(const ReadResult& result) {
   mirror_.Answered(BootTime(), result);
-  relay_.SetCurrent(mirror_.follows_store() && !retired_,
-                    mirror_.confirmed_at());
+  relay_.SetState(retired_ ? RelayState::kNotCurrent : mirror_.relay_state(),
+                  mirror_.confirmed_at());
   relay_.Changed();
   if (confirmed_) confirmed_(mirror_.confirmed_at());
   Rearm();
--- a/testsuite/support/mirror/fleet.h
+++ b/testsuite/support/mirror/fleet.h
@@ -410,7 +410,7 @@
     fleet_->faults.push_back(name_ + " went back");
   }
   newest_seen_ = mirror_.as_of();
-  relay_.SetCurrent(mirror_.follows_store(), mirror_.confirmed_at());
+  relay_.SetState(mirror_.relay_state(), mirror_.confirmed_at());
   relay_.Changed();
 }
 
