--- a/src/include/ryefold/core/failover/election.h
+++ b/src/include/ryefold/core/failover/election.h
@@ -54,13 +54,13 @@
   /// Kept back from the end of the lease, for clocks that run unevenly.
   std::chrono::milliseconds reserve{200};
   /// Candidates claim in the order of their ranks, this long after each other:
-  /// a claim takes two of the store's answers of 4 ms each, and one that sees
-  /// the key taken does not claim.
+  /// a claim takes two of the store's answers, and one that sees the key taken
+  /// does not claim.
   std::chrono::milliseconds stagger{25};
   /// Those beyond the first few hold back this much longer, so that a vacancy
-  /// does not cost a call from each instance of a large fleet. With three, a
-  /// group waited 2.5 s more for its primary when these were cut off together;
-  /// the turns of sixteen are over within 400 ms.
+  /// does not cost a call from each instance of a large fleet. Few enough that
+  /// their turns are soon over, and so many that a partition rarely takes them
+  /// all: groups then wait this much longer for their primaries.
   size_t first_few = 16;
   std::chrono::milliseconds hold_back{2500};
   /// One that has just started lets this pass first: by then it has heard of
--- a/src/include/ryefold/core/membership/registration.h
+++ b/src/include/ryefold/core/membership/registration.h
@@ -33,9 +33,8 @@
   /// within a tenth of a second by its silence; the list only settles who keeps
   /// which group, so there is no hurry.
   std::chrono::milliseconds ttl{60000};
-  /// Each renewal is a call to the store, and a fleet makes most of its calls
-  /// so: on a calm day of 195 instances 1,667 in 52 s when they renewed each
-  /// 5 s. Two renewals may fail.
+  /// Each renewal is a call to the store, and a calm fleet makes most of its
+  /// calls so. Two renewals may fail.
   std::chrono::milliseconds renew{20000};
   /// Pause after a failed call, doubled up to the most, half of it at random.
   /// Entries that were lost while the store was away have to be back before
--- a/src/include/ryefold/core/mirror/mirror.h
+++ b/src/include/ryefold/core/mirror/mirror.h
@@ -26,10 +26,8 @@
   /// connection looks alive, to the kernel's probes as well: after an outage
   /// the store may simply have forgotten it. Changes are then missed without a
   /// sign, and an instance goes on sending work to a database that has left.
-  /// Only an answer, or its absence, shows that a watch is alive; waits of 20 s
-  /// let 22 to 148 statements reach a leaving database after its time, on 10 of
-  /// 12 seeds of a day with such an outage. Costs one call each two seconds for
-  /// each instance that follows the store.
+  /// Only an answer, or its absence, shows that a watch is alive. Costs one call
+  /// each two seconds for each instance that follows the store.
   std::chrono::milliseconds wait{2000};
   /// Time allowed for an answer to arrive once there is one: a listing of a
   /// large fleet is a megabyte, and the slowest links carry two megabits a
@@ -52,8 +50,8 @@
   /// Least time between two watches. Each answer takes in all changes since,
   /// so this bounds the calls made in a storm of changes.
   std::chrono::milliseconds pace{1000};
-  /// The same for a relay: its pace is added to that of nobody else. While a
-  /// large fleet is restarted one by one, 300 ms cost a third of all calls.
+  /// The same for a relay, on which others wait. Not much less: while a large
+  /// fleet is restarted one by one, each start is a change and a call.
   std::chrono::milliseconds relay_pace{600};
   /// The same when the whole fleet starts for the first time: each start is a
   /// change, and nobody waits to be served yet.
--- a/src/include/ryefold/core/session/isolation.h
+++ b/src/include/ryefold/core/session/isolation.h
@@ -4,10 +4,9 @@
 //
 // A network can part one instance from all others while callers still reach
 // it. Each of their statements would try one keeper after the other and be
-// refused when its time is over; 27% of all requests came late or failed while
-// a fourth of 195 instances was cut off. What the answers and silences of all
-// peers say together shows it after a few tenths of a second: then statements
-// are refused at once, and the balancer is told to send callers elsewhere.
+// refused when its time is over. What the answers and silences of all peers say
+// together shows it after a few tenths of a second: then statements are refused
+// at once, and the balancer is told to send callers elsewhere.
 
 #include <cstddef>
 #include <set>
--- a/src/libcore/session/forwarding.cc
+++ b/src/libcore/session/forwarding.cc
@@ -12,7 +12,7 @@
 constexpr size_t kOwnConnections = 2;
 /// Instances that may all hold connections. Beyond, each has so little to do
 /// for each database that its connections are closed as idle between two
-/// statements, and opening one takes a database's slot for 12 to 27 ms.
+/// statements, and opening one takes a slot of the database.
 constexpr size_t kMostOwn = 16;
 /// Connections of one keeper: enough that a transaction at rest does not stop
 /// the others, few enough that several keepers share a group.
--- a/src/libcore/session/proxy_callers.cc
+++ b/src/libcore/session/proxy_callers.cc
@@ -28,9 +28,8 @@
 
 void Proxy::Impl::CallerStarted(TimePoint now, CallerId id,
                                 const std::string& route) {
-  // Others are further, as a rule: kept waiting here, fewer callers were served
-  // within their goals after a loss of all power (942 of 3,864 in the two
-  // seconds around it, 1,299 when turned away, one play each).
+  // Others are further, as a rule: turned away here, a caller is served sooner
+  // elsewhere than kept waiting, after a loss of all power too.
   if (!Informed()) {
     port_->CloseCaller(id, ErrorCode::kBusy, "no configuration yet");
     return;
--- a/src/libcore/session/proxy_forwarding.cc
+++ b/src/libcore/session/proxy_forwarding.cc
@@ -14,11 +14,10 @@
 /// Keepers tried for one statement.
 constexpr uint32_t kMaxForwards = 4;
 /// Time that a keeper has for a sign of life before a statement goes to it; the
-/// statement then goes to another. Half of a fleet lost power for 1.5 s: each
-/// statement for one of the lost keepers waited until its goal, and was in
-/// doubt if it was a write. A sign of life takes one round trip, 2 ms at most;
-/// a process under a processor quota can stand still for nearly a tenth of a
-/// second, and is then no worse off for being passed over.
+/// statement then goes to another. Sent to one that has lost power it would wait
+/// until its goal, and be in doubt if it is a write. A sign of life takes one
+/// round trip; a process under a processor quota can stand still for nearly a
+/// tenth of a second, and is then no worse off for being passed over.
 constexpr milliseconds kAliveTime{60};
 /// The same for a statement of a transaction, which only this keeper can run.
 constexpr milliseconds kBoundAliveTime{300};
@@ -54,9 +53,7 @@
 
 /// A keeper that has only just started says so; another is asked. When a whole
 /// fleet starts, with a large configuration, the instances that are first would
-/// turn away what the others can serve a few tenths of a second later: 1,706 of
-/// 3,813 statements in the two seconds after all were killed, with 1,400
-/// routes.
+/// turn away what the others can serve a few tenths of a second later.
 bool Proxy::Impl::AwaitKeeper(TimePoint now, Request* request,
                               const std::string& keeper, const Reply& reply) {
   if (reply.error != ErrorCode::kNotReady || request->detour) return false;
@@ -67,10 +64,8 @@
 }
 
 /// A keeper without a way to the primary, or whose primary is cut off from its
-/// replicas, says so; another may be on the other side of the partition. On a
-/// day of 87 instances with one group split so for seven seconds, 640 of 2,000
-/// refusals were those of keepers on the wrong side. False when the answer
-/// stands.
+/// replicas, says so; another may be on the other side of the partition, where
+/// the statement can run. False when the answer stands.
 bool Proxy::Impl::TryAnotherKeeper(TimePoint now, Request* request,
                                    const std::string& keeper,
                                    const Reply& reply) {
--- a/src/libcore/session/proxy_instances.cc
+++ b/src/libcore/session/proxy_instances.cc
@@ -108,10 +108,8 @@
 /// Until the instances are known nobody can tell who keeps a group, and this
 /// instance takes itself for none of its keepers. Otherwise a fleet that starts
 /// at one moment, after a loss of power, opens a connection from every instance
-/// to every database; each takes a slot for its 12 ms, beyond the limit the
-/// database resets them, and callers wait for all of it. Of 195 instances
-/// before 60 databases, in single plays, 5,817 connections were reset and the
-/// median instance gave its first answer 270 ms after it had its configuration.
+/// to every database; each takes a slot for a while, beyond the limit the
+/// database resets them, and callers wait for all of it.
 void Proxy::Impl::ChooseAllKeepers(TimePoint now) {
   if (!have_instances_) return;
   for (auto& [name, group] : groups_) {
@@ -178,9 +176,8 @@
 
 /// A partition can leave this instance with the databases of a group and
 /// without any of its keepers. It then opens a connection of its own: keepers
-/// hold 60% of those that a database takes, and it needs one for a moment. Of
-/// 195 instances 68 were parted so for seven seconds, and 1,175 statements were
-/// refused since no keeper was in reach (one play).
+/// leave a part of those that a database takes, and it needs one for a moment.
+/// Its callers would be refused for as long as the partition lasts.
 bool Proxy::Impl::MayRunAlone(TimePoint now, const Request& request,
                               const Group& group) const {
   const bool none_in_reach =
--- a/src/libcore/session/proxy_leadership.cc
+++ b/src/libcore/session/proxy_leadership.cc
@@ -24,9 +24,9 @@
 constexpr milliseconds kGroupIdle{2000};
 /// The lead is probed when the newest mark is this much short of the age that
 /// the strictest route allows, so that replicas can go on serving its reads.
-/// It is the time that a probe and its proof take beside busy databases; the
-/// longest seen on a day of heavy load was 400 ms. Statements on the primary
-/// renew marks for nothing; probes fill the gaps between them.
+/// It is the time that a probe and its proof take beside busy databases.
+/// Statements on the primary renew marks for nothing; probes fill the gaps
+/// between them.
 constexpr milliseconds kProbeTime{500};
 /// Marks are not renewed more often for routes that allow next to nothing:
 /// their reads go to the primary.
@@ -99,7 +99,7 @@
   if (!KnownByItsWord(*group)) return;
   // It may be the new term's primary itself: one that began to claim the lead
   // after it last told its term is asked first. Giving it up at once would turn
-  // statements away for some 20 ms of each failover.
+  // statements away for a moment of each failover.
   DatabaseState* primary = FindDatabase(group->primary);
   const bool may_be_newer =
       primary != nullptr && primary->status_from < primary->claims_since;
--- a/src/libcore/session/proxy_pool.cc
+++ b/src/libcore/session/proxy_pool.cc
@@ -10,8 +10,7 @@
 
 using std::chrono::milliseconds;
 
-/// Time for a new connection to be let in. The databases take 12 to 27 ms;
-/// the rest is for one that is overloaded.
+/// Time for a new connection to be let in, by an overloaded database too.
 constexpr milliseconds kOpenTime{1000};
 /// Connections opened to one database at a time: each takes one of its slots
 /// for that while.
@@ -25,9 +24,8 @@
 constexpr milliseconds kAfterTooMany{250};
 /// Part of a database's connections that one instance takes at most, and the
 /// least it may take. After a loss of power a database counts the dead
-/// connections for three seconds; with a fourth for each of eight instances,
-/// the restarted ones were turned away (score 0.631 of a site's days, 0.855
-/// with an eighth; a fourteenth gained 0.05 more where there are 38).
+/// connections for some seconds; with larger parts there is no room beside them
+/// and the restarted instances are turned away.
 constexpr uint32_t kConnectionPart = 14;
 constexpr uint32_t kLeastConnections = 2;
 /// Connections to a database of a group that others keep: one in use and one
@@ -35,8 +33,8 @@
 /// by a part of the instances, and closed when idle for `kIdleTime`.
 constexpr uint32_t kConnectionsAlone = 2;
 /// Idle connections beyond the first are closed after this long, for the use
-/// of other instances and for the reason above. Opening costs the database a
-/// slot for 12 to 27 ms.
+/// of other instances and for the reason above. Not sooner: opening costs the
+/// database a slot for a while.
 constexpr milliseconds kIdleTime{500};
 /// A statement unanswered for this long will not be answered: the connection
 /// has gone silent. Exceeds every route's statement timeout seen so far.
