One deadline timer for four tasks; the fake store, seeds and idle memory in files of their own

Four tasks had the same twelve lines that arm the one timer for the next deadline; task/deadline_timer has them once. Behaviour is as before.

--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build="${BUILD:-build}"
-for name in failover replica_share admission control wire; do
+for name in failover replica_share admission control wire idle; do
   if [ -x "$build/bench_$name" ]; then
     echo "== bench_$name"
     "$build/bench_$name"
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -12,8 +12,8 @@
 "$build/bench_control" --instances 8 --documents 20000
 echo "== failover in virtual time (bench_failover)"
 "$build/bench_failover" --trials 40
-echo "== memory of connections between instances (bench_wire)"
-"$build/bench_wire" --benchmark_filter='Idle|Waiting' 2>/dev/null
+echo "== memory of connections between instances (bench_idle)"
+"$build/bench_idle" 2>/dev/null
 echo "== real processes (scripts/capacity_processes.sh, scripts/bench_path.sh)"
 scripts/capacity_processes.sh
 scripts/bench_path.sh
--- a/src/ryefoldd/control_task.cc
+++ b/src/ryefoldd/control_task.cc
@@ -43,6 +43,10 @@
   loop_ = loop;
   store_ = std::make_unique<wire::HttpClient>(loop->base());
   peers_ = std::make_unique<PeerPool>(loop);
+  timer_ = std::make_unique<task::DeadlineTimer>(loop, [this] {
+    DriveDuties(membership::DutyTick{});
+    DriveNode(configuration::Tick{});
+  });
   configuration::NodeOptions options;
   options.self = SelfOf(wiring_->settings);
   options.seeds = wiring_->settings.seeds;
@@ -58,6 +62,7 @@
 
 void ControlTask::Stop() {
   wiring_->control.Close();
+  timer_.reset();
   peers_.reset();
   store_.reset();
   duties_.reset();
@@ -292,19 +297,7 @@
 }
 
 void ControlTask::Arm() {
-  const core::TimePoint due =
-      std::min(node_->next_deadline(), duties_->next_deadline());
-  if (timer_ != 0 && timer_at_ <= due) return;
-  if (timer_ != 0) loop_->Cancel(timer_);
-  timer_ = 0;
-  timer_at_ = due;
-  if (due == core::TimePoint::max()) return;
-  timer_ = loop_->At(due, [this] {
-    timer_ = 0;
-    timer_at_ = core::TimePoint::max();
-    DriveDuties(membership::DutyTick{});
-    DriveNode(configuration::Tick{});
-  });
+  timer_->ArmFor(std::min(node_->next_deadline(), duties_->next_deadline()));
 }
 
 void ControlTask::Sweep() {
--- a/src/ryefoldd/control_task.h
+++ b/src/ryefoldd/control_task.h
@@ -12,6 +12,7 @@
 #include "ryefold/core/configuration/node.h"
 #include "ryefold/core/membership/duties.h"
 #include "ryefold/core/membership/roster.h"
+#include "ryefold/task/deadline_timer.h"
 #include "ryefold/task/supervisor.h"
 #include "ryefold/wire/http.h"
 #include "ryefold/wire/peer.h"
@@ -77,8 +78,7 @@
   std::deque<core::configuration::Event> events_;
   bool driving_ = false;
   int sweeps_ = 0;
-  task::TimerId timer_ = 0;
-  core::TimePoint timer_at_ = core::TimePoint::max();
+  std::unique_ptr<task::DeadlineTimer> timer_;
   std::unordered_map<uint64_t, AdminAsked> status_asked_;
 };
 
--- a/src/ryefoldd/entry_forwarding.cc
+++ b/src/ryefoldd/entry_forwarding.cc
@@ -41,7 +41,7 @@
     for (const core::entry::Action& action : actions) Perform(action);
   }
   driving_ = false;
-  Arm();
+  timer_->ArmFor(forwarder_->next_deadline());
 }
 
 void EntryTask::Perform(const core::entry::Action& action) {
@@ -192,18 +192,4 @@
   return entry.instances;
 }
 
-void EntryTask::Arm() {
-  const core::TimePoint due = forwarder_->next_deadline();
-  if (timer_ != 0 && timer_at_ <= due) return;
-  if (timer_ != 0) loop_->Cancel(timer_);
-  timer_ = 0;
-  timer_at_ = due;
-  if (due == core::TimePoint::max()) return;
-  timer_ = loop_->At(due, [this] {
-    timer_ = 0;
-    timer_at_ = core::TimePoint::max();
-    Drive(core::entry::Tick{});
-  });
-}
-
 }  // namespace ryefold::ryefoldd
--- a/src/ryefoldd/entry_task.cc
+++ b/src/ryefoldd/entry_task.cc
@@ -46,6 +46,8 @@
 
 void EntryTask::Start(task::Loop* loop) {
   loop_ = loop;
+  timer_ = std::make_unique<task::DeadlineTimer>(
+      loop, [this] { Drive(core::entry::Tick{}); });
   id_prefix_ = FreshIdPrefix(wiring_->settings.name);
   forwarder_ = std::make_unique<core::entry::Forwarder>(
       [this](core::TimePoint now, const std::string& group) {
@@ -66,6 +68,7 @@
 
 void EntryTask::Stop() {
   wiring_->entry.Close();
+  timer_.reset();
   forwarder_.reset();
   peers_.clear();
   waiting_.clear();
--- a/src/ryefoldd/entry_task.h
+++ b/src/ryefoldd/entry_task.h
@@ -11,6 +11,7 @@
 
 #include "ryefold/core/entry/forwarder.h"
 #include "ryefold/core/session/token.h"
+#include "ryefold/task/deadline_timer.h"
 #include "ryefold/task/supervisor.h"
 #include "ryefold/wire/http.h"
 #include "ryefold/wire/peer.h"
@@ -72,7 +73,6 @@
   wire::PeerClient* PeerFor(const std::string& instance);
   std::vector<std::string> Ranked(core::TimePoint now,
                                   const std::string& group);
-  void Arm();
   void Sweep();
 
   Wiring* wiring_;
@@ -93,8 +93,7 @@
   std::string id_prefix_;
   std::deque<core::entry::Event> events_;
   bool driving_ = false;
-  task::TimerId timer_ = 0;
-  core::TimePoint timer_at_ = core::TimePoint::max();
+  std::unique_ptr<task::DeadlineTimer> timer_;
   std::unique_ptr<core::entry::Forwarder> forwarder_;
 };
 
--- a/src/ryefoldd/group_host.cc
+++ b/src/ryefoldd/group_host.cc
@@ -54,21 +54,17 @@
 GroupHost::GroupHost(task::Loop* loop, wire::HttpClient* control,
                      Metrics* metrics, const Identity& identity,
                      const core::Catalog& catalog, const std::string& group)
-    : loop_(loop),
-      metrics_(metrics),
+    : metrics_(metrics),
       group_(group),
       link_(loop, control,
             [this](const core::group::Event& event) { Drive(event); }),
+      timer_(loop, [this] { Drive(core::group::Tick{}); }),
       keeper_(GroupOf(catalog, group), WorkspacesOf(catalog, group),
               identity.instance, identity.failure_domain, identity.timing,
               identity.seed) {
   Apply(catalog);
 }
 
-GroupHost::~GroupHost() {
-  if (timer_ != 0) loop_->Cancel(timer_);
-}
-
 void GroupHost::Apply(const core::Catalog& catalog) {
   const core::GroupSpec group = GroupOf(catalog, group_);
   std::vector<core::WorkspacePolicy> workspaces = WorkspacesOf(catalog, group_);
@@ -131,7 +127,7 @@
     for (const core::group::Action& action : actions) Perform(action);
   }
   driving_ = false;
-  Arm();
+  timer_.ArmFor(keeper_.next_deadline());
 }
 
 void GroupHost::Perform(const core::group::Action& action) {
@@ -170,18 +166,4 @@
   return found == priorities_.end() ? 0 : found->second;
 }
 
-void GroupHost::Arm() {
-  const TimePoint due = keeper_.next_deadline();
-  if (timer_ != 0 && timer_at_ <= due) return;
-  if (timer_ != 0) loop_->Cancel(timer_);
-  timer_ = 0;
-  timer_at_ = due;
-  if (due == TimePoint::max()) return;
-  timer_ = loop_->At(due, [this] {
-    timer_ = 0;
-    timer_at_ = TimePoint::max();
-    Drive(core::group::Tick{});
-  });
-}
-
 }  // namespace ryefold::ryefoldd
--- a/src/ryefoldd/group_host.h
+++ b/src/ryefoldd/group_host.h
@@ -11,6 +11,7 @@
 
 #include "ryefold/core/group/keeper.h"
 #include "ryefold/core/policy.h"
+#include "ryefold/task/deadline_timer.h"
 #include "ryefold/task/loop.h"
 #include "ryefold/wire/http.h"
 #include "ryefoldd/database_link.h"
@@ -32,7 +33,6 @@
   GroupHost(task::Loop* loop, wire::HttpClient* control, Metrics* metrics,
             const Identity& identity, const core::Catalog& catalog,
             const std::string& group);
-  ~GroupHost();
   GroupHost(const GroupHost&) = delete;
   GroupHost& operator=(const GroupHost&) = delete;
 
@@ -59,11 +59,9 @@
 
   void Drive(core::group::Event event);
   void Perform(const core::group::Action& action);
-  void Arm();
   void NoteDequeued(const core::ExecuteCall& call);
   uint32_t PriorityOf(const std::string& workspace) const;
 
-  task::Loop* loop_;
   Metrics* metrics_;
   std::string group_;
   bool intended_ = true;
@@ -75,8 +73,7 @@
   uint64_t next_tag_ = 1;
   std::deque<core::group::Event> events_;
   bool driving_ = false;
-  task::TimerId timer_ = 0;
-  core::TimePoint timer_at_ = core::TimePoint::max();
+  task::DeadlineTimer timer_;
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
   core::group::Keeper keeper_;
 };
--- a/src/ryefoldd/mirror_host.cc
+++ b/src/ryefoldd/mirror_host.cc
@@ -22,7 +22,7 @@
 
 /// Time that a relay has for a sign of life before it is asked. One that died
 /// stays in the list for up to a minute and is tried again each few seconds;
-/// waiting for its answer would take 1.7 s of them.
+/// most of them would go into waiting for its answer.
 constexpr milliseconds kAliveTime{200};
 
 }  // namespace
@@ -38,14 +38,13 @@
       mirror_(core::mirror::MirrorTiming(), first_start,
               static_cast<uint64_t>(BootTime().time_since_epoch().count()),
               this, events, std::move(listener)),
-      relay_(&mirror_.log(), this) {
+      relay_(&mirror_.log(), this),
+      timer_(loop, [this] { Tick(); }) {
   if (peers_ == nullptr) return;
   peers_->Serve(wire::kPeerMirror,
                 [this](const wire::PeerCall& call) { OnQuestion(call); });
 }
 
-MirrorHost::~MirrorHost() { loop_->Cancel(timer_); }
-
 void MirrorHost::Start() {
   mirror_.Start(BootTime());
   Rearm();
@@ -145,7 +144,6 @@
 }
 
 void MirrorHost::Tick() {
-  armed_at_ = core::TimePoint::max();
   const core::TimePoint now = BootTime();
   mirror_.Tick(now);
   relay_.Tick(now);
@@ -155,10 +153,7 @@
 void MirrorHost::Rearm() {
   const core::TimePoint next =
       std::min(mirror_.next_deadline(), relay_.next_deadline());
-  if (next >= armed_at_) return;
-  loop_->Cancel(timer_);
-  armed_at_ = next;
-  timer_ = loop_->At(OnSteadyClock(next), [this] { Tick(); });
+  if (next != core::TimePoint::max()) timer_.ArmFor(OnSteadyClock(next));
 }
 
 }  // namespace ryefold::ryefoldd
--- a/src/ryefoldd/mirror_host.h
+++ b/src/ryefoldd/mirror_host.h
@@ -14,6 +14,7 @@
 #include "ryefold/core/mirror/mirror.h"
 #include "ryefold/core/mirror/relay.h"
 #include "ryefold/core/mirror/store_source.h"
+#include "ryefold/task/deadline_timer.h"
 #include "ryefold/task/loop.h"
 #include "ryefold/wire/peer.h"
 #include "ryefoldd/peer_exchange.h"
@@ -27,7 +28,6 @@
   MirrorHost(task::Loop* loop, core::mirror::StoreSource* store,
              PeerExchange* peers, core::EventSink* events, bool first_start,
              core::mirror::Mirror::Listener listener);
-  ~MirrorHost() override;
   MirrorHost(const MirrorHost&) = delete;
   MirrorHost& operator=(const MirrorHost&) = delete;
 
@@ -76,8 +76,7 @@
   bool retired_ = false;
   core::mirror::RelayCall last_call_ = 0;
   std::map<core::mirror::RelayCall, wire::PeerCall> calls_;
-  task::TimerId timer_ = 0;
-  core::TimePoint armed_at_ = core::TimePoint::max();
+  task::DeadlineTimer timer_;
 };
 
 }  // namespace ryefold::ryefoldd
--- a/testsuite/mirror_in_force/in_force_test.cc
+++ b/testsuite/mirror_in_force/in_force_test.cc
@@ -7,7 +7,6 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <cstdlib>
 #include <map>
 #include <random>
 #include <string>
@@ -15,6 +14,7 @@
 #include <vector>
 
 #include "testsuite/support/mirror/fleet.h"
+#include "testsuite/support/random/seeds.h"
 
 namespace ryefold::testsuite {
 namespace {
@@ -35,11 +35,6 @@
 constexpr Bounds kSmall{milliseconds(3000), milliseconds(4000)};
 constexpr Bounds kLarge{milliseconds(5000), milliseconds(5000)};
 
-uint64_t FromEnvironment(const char* name, uint64_t usual) {
-  const char* text = std::getenv(name);
-  return text == nullptr ? usual : std::strtoull(text, nullptr, 10);
-}
-
 class InForceRun {
  public:
   InForceRun(uint64_t seed, Bounds bounds, uint64_t least, uint64_t most)
--- a/testsuite/mirror_random/random_test.cc
+++ b/testsuite/mirror_random/random_test.cc
@@ -5,11 +5,11 @@
 
 #include <gtest/gtest.h>
 
-#include <cstdlib>
 #include <random>
 #include <string>
 
 #include "testsuite/support/mirror/fleet.h"
+#include "testsuite/support/random/seeds.h"
 
 namespace ryefold::testsuite {
 namespace {
@@ -20,11 +20,6 @@
 /// a minute, and then when the watch that waits has ended, 3 s later at most.
 constexpr milliseconds kAllRead{55000};
 
-uint64_t FromEnvironment(const char* name, uint64_t usual) {
-  const char* text = std::getenv(name);
-  return text == nullptr ? usual : std::strtoull(text, nullptr, 10);
-}
-
 class RandomRun {
  public:
   RandomRun(uint64_t seed, bool loses_watches)
--- a/testsuite/session_directory/random_test.cc
+++ b/testsuite/session_directory/random_test.cc
@@ -4,7 +4,6 @@
 
 #include <gtest/gtest.h>
 
-#include <cstdlib>
 #include <deque>
 #include <map>
 #include <memory>
@@ -13,6 +12,7 @@
 #include <string>
 
 #include "ryefold/core/session/proxy.h"
+#include "testsuite/support/random/seeds.h"
 #include "testsuite/support/session/fake_cluster.h"
 #include "testsuite/support/session/instance_host.h"
 
@@ -323,11 +323,6 @@
   std::unique_ptr<Proxy> proxy_;
 };
 
-uint64_t FromEnvironment(const char* name, uint64_t usual) {
-  const char* text = std::getenv(name);
-  return text == nullptr ? usual : std::strtoull(text, nullptr, 10);
-}
-
 // A statement that goes to a group that its route does not lead to reads or
 // writes another workspace's data. One that goes to a database that is about to
 // end is cut off.
--- a/testsuite/session_random/random_test.cc
+++ b/testsuite/session_random/random_test.cc
@@ -3,11 +3,11 @@
 
 #include <gtest/gtest.h>
 
-#include <cstdlib>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include "testsuite/support/random/seeds.h"
 #include "testsuite/support/session/checked_callers.h"
 
 namespace ryefold::testsuite {
@@ -23,11 +23,6 @@
 constexpr uint64_t kThreads = 4;
 constexpr uint64_t kFirstSeed = 20261202;
 
-uint64_t FromEnvironment(const char* name, uint64_t otherwise) {
-  const char* text = std::getenv(name);
-  return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
-}
-
 const char* Draw(CheckedCallers* callers) {
   const char* ids[] = {"db-a", "db-b", "db-c"};
   return ids[callers->random()() % 3];
