--- a/src/include/ryefold/core/mirror/mirror.h
+++ b/src/include/ryefold/core/mirror/mirror.h
@@ -26,8 +26,8 @@
   /// connection looks alive, to the kernel's probes as well: after an outage
   /// the store may simply have forgotten it. Changes are then missed without a
   /// sign, and an instance goes on sending work to a database that has left.
-  /// Only an answer, or its absence, shows that a watch is alive. Costs one call
-  /// each two seconds for each instance that follows the store.
+  /// Only an answer, or its absence, shows that a watch is alive. Costs one
+  /// call each two seconds for each instance that follows the store.
   std::chrono::milliseconds wait{2000};
   /// Time allowed for an answer to arrive once there is one: a listing of a
   /// large fleet is a megabyte, and the slowest links carry two megabits a
@@ -86,12 +86,12 @@
   std::chrono::milliseconds store_again{3000};
   std::chrono::milliseconds relays_again{2000};
   /// A relay in whose place the store could be followed has this long to show a
-  /// copy that is no older than `fresh`. It lives and says in good faith that
-  /// it follows the store while its own watch hangs, for up to three seconds;
-  /// an instance that rested on its word would serve by an old configuration
-  /// with the store in reach.
-  std::chrono::milliseconds proof{500};
-  std::chrono::milliseconds fresh{1500};
+  /// copy that is no older than `fresh_copy`. It lives and says in good faith
+  /// that it follows the store while its own watch hangs, for up to three
+  /// seconds; an instance that rested on its word would serve by an old
+  /// configuration with the store in reach.
+  std::chrono::milliseconds relay_trial{500};
+  std::chrono::milliseconds fresh_copy{1500};
 };
 
 /// How soon the next watch is wanted.
@@ -188,8 +188,8 @@
   Call call_ = Call::kNone;
   /// When the call under way was sent.
   TimePoint sent_at_;
-  /// The watch under way answers then at the latest, if nothing changes.
-  TimePoint watched_until_;
+  /// When the wait of the watch under way is over, if nothing changes.
+  TimePoint wait_until_;
   /// When the first page of the listing under way was asked for.
   TimePoint listing_from_;
   TimePoint confirmed_at_;
--- a/src/libcore/mirror/mirror.cc
+++ b/src/libcore/mirror/mirror.cc
@@ -101,7 +101,7 @@
   }
   call_ = Call::kWatch;
   sent_at_ = now;
-  watched_until_ = now + wait;
+  wait_until_ = now + wait;
   // A change can be as large as a listing; cut short it would be asked for over
   // and over, and never be in force.
   const TimePoint deadline = now + wait + timing_.grace;
@@ -114,9 +114,9 @@
   listing_.clear();  // a listing that was begun is not gone on with later
   const uint64_t after = ask_all_ ? 0 : as_of();
   milliseconds wait = timing_.ask_wait;
-  const TimePoint proof_by = store_failed_at_ + timing_.proof;
-  if (plan_.follows_store && now < proof_by) {
-    wait = std::min(wait, std::chrono::ceil<milliseconds>(proof_by - now));
+  const TimePoint trial_end = store_failed_at_ + timing_.relay_trial;
+  if (plan_.follows_store && now < trial_end) {
+    wait = std::min(wait, std::chrono::ceil<milliseconds>(trial_end - now));
   }
   port_->AskRelay(relay_, after, wait, now + wait + timing_.ask_grace);
 }
@@ -143,7 +143,7 @@
       Take(now, result.value());
       // Without changes it was answered no sooner than its wait was over.
       const bool waited_out = result.value().entries.empty();
-      Confirm(waited_out ? std::min(watched_until_, now) : sent_at_);
+      Confirm(waited_out ? std::min(wait_until_, now) : sent_at_);
     }
   }
   Next(now);
@@ -262,7 +262,6 @@
 }
 
 void Mirror::StoreFailed(TimePoint now, Call call, ReadError error) {
-  TellStoreFailed(now, call, error);
   listing_.clear();
   list_due_ = true;
   // Changes may have been made that the watch did not bring; the store itself
@@ -270,8 +269,12 @@
   if (error == ReadError::kHistoryGone) {
     store_good_ = true;
     missed_changes_ = true;
+    Event(events_, EventWeight::kState, "history_gone")
+        .Add("as_of", as_of())
+        .Add("copy_age", now - confirmed_at_);
     return;
   }
+  TellStoreFailed(now, call, error);
   store_good_ = false;
   ++failures_;
   store_failed_at_ = now;
@@ -301,8 +304,8 @@
   Take(now, reading);
   Compare(reading);
   Confirm(sent_at_ - reading.age);
-  if (!plan_.follows_store || now - confirmed_at_ <= timing_.fresh) return;
-  const TimePoint soon = std::max(now, store_failed_at_ + timing_.proof);
+  if (!plan_.follows_store || now - confirmed_at_ <= timing_.fresh_copy) return;
+  const TimePoint soon = std::max(now, store_failed_at_ + timing_.relay_trial);
   store_not_before_ = std::min(store_not_before_, soon);
 }
 
--- a/src/libcore/session/proxy_forwarding.cc
+++ b/src/libcore/session/proxy_forwarding.cc
@@ -14,10 +14,10 @@
 /// Keepers tried for one statement.
 constexpr uint32_t kMaxForwards = 4;
 /// Time that a keeper has for a sign of life before a statement goes to it; the
-/// statement then goes to another. Sent to one that has lost power it would wait
-/// until its goal, and be in doubt if it is a write. A sign of life takes one
-/// round trip; a process under a processor quota can stand still for nearly a
-/// tenth of a second, and is then no worse off for being passed over.
+/// statement then goes to another. Sent to one that has lost power it would
+/// wait until its goal, and be in doubt if it is a write. A sign of life takes
+/// one round trip; a process under a processor quota can stand still for nearly
+/// a tenth of a second, and is then no worse off for being passed over.
 constexpr milliseconds kAliveTime{60};
 /// The same for a statement of a transaction, which only this keeper can run.
 constexpr milliseconds kBoundAliveTime{300};
