--- a/src/libcore/mirror/mirror.cc
+++ b/src/libcore/mirror/mirror.cc
@@ -303,7 +303,8 @@
   missed_changes_ = false;
   Take(now, reading);
   Compare(reading);
-  Confirm(sent_at_ - reading.age);
+  // A copy that differs from the relay's is not shown to be current by it.
+  if (!ask_all_) Confirm(sent_at_ - reading.age);
   if (!plan_.follows_store || now - confirmed_at_ <= timing_.fresh_copy) return;
   const TimePoint soon = std::max(now, store_failed_at_ + timing_.relay_trial);
   store_not_before_ = std::min(store_not_before_, soon);
