Callers are known by key, and connections belong to one workspace

A session is admitted under its key and keeps its workspace through queue, forwarding and adoption; the newer of two configurations decides at a keeper. When keys are dropped, what was not sent is refused, what runs is answered, sessions end. DatabasePool counts connections by workspace; when an instance holds all that it may, the least recently used one of another workspace is closed. Queue lines are route and workspace. One place checks that a statement runs on its own workspace's connection.

--- a/src/include/ryefold/core/session/directory.h
+++ b/src/include/ryefold/core/session/directory.h
@@ -8,6 +8,8 @@
 #include <map>
 #include <string>
 
+#include "ryefold/core/workspace/workspaces.h"
+
 namespace ryefold::core::session {
 
 /// How current a read has to be.
@@ -29,6 +31,8 @@
   std::chrono::milliseconds max_staleness{0};
   /// 0 is served first.
   uint32_t priority = 0;
+  /// Callers need no key and belong to no workspace.
+  bool open_to_all = false;
 };
 
 /// Limits of one database group.
@@ -44,6 +48,7 @@
   uint64_t version = 0;
   std::map<std::string, Route> routes;
   std::map<std::string, GroupLimits> groups;
+  workspace::WorkspaceTable workspaces;
   /// A transaction without a statement for this long may be ended.
   std::chrono::milliseconds transaction_idle{3000};
 };
--- a/src/include/ryefold/core/session/forwarding.h
+++ b/src/include/ryefold/core/session/forwarding.h
@@ -37,6 +37,12 @@
   Statement statement;
   /// As configured where the caller is; the keeper's own may be older.
   Route route;
+  /// Version of that configuration.
+  uint64_t config_version = 0;
+  /// Whose connection it runs on; empty: of a caller without a workspace.
+  std::string workspace;
+  /// Of the key that the caller gave.
+  workspace::KeyDigest key;
   std::map<std::string, std::string> variables;
   std::map<std::string, PreparedText> prepared;
   /// Position of the session's last acknowledged commit.
--- a/src/include/ryefold/core/session/port.h
+++ b/src/include/ryefold/core/session/port.h
@@ -29,8 +29,9 @@
   virtual void CloseCaller(CallerId caller, ErrorCode error,
                            const std::string& text) = 0;
 
-  virtual void OpenConnection(ConnectionId connection,
-                              const Database& database) = 0;
+  /// The connection belongs to `workspace` for its whole life; empty: to none.
+  virtual void OpenConnection(ConnectionId connection, const Database& database,
+                              const std::string& workspace) = 0;
   /// Sends calls in one go; each is answered in order.
   virtual void SendCalls(ConnectionId connection,
                          const std::vector<BackendCall>& calls) = 0;
--- a/src/include/ryefold/core/session/proxy.h
+++ b/src/include/ryefold/core/session/proxy.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "ryefold/core/event.h"
+#include "ryefold/core/limits/operation_limiter.h"
 #include "ryefold/core/session/confirmation.h"
 #include "ryefold/core/session/forwarding.h"
 #include "ryefold/core/session/port.h"
@@ -75,6 +76,8 @@
   uint64_t replica_reads = 0;
   uint64_t primary_reads = 0;
   uint64_t connections_opened = 0;
+  /// Idle ones closed to open one for another workspace.
+  uint64_t connections_evicted = 0;
 };
 
 /// Told about each statement that was answered, for histograms.
@@ -95,7 +98,9 @@
   Proxy(const Proxy&) = delete;
   Proxy& operator=(const Proxy&) = delete;
 
-  void CallerStarted(TimePoint now, CallerId caller, const std::string& route);
+  /// `key` is the digest of what the caller gave as its key.
+  void CallerStarted(TimePoint now, CallerId caller, const std::string& route,
+                     const workspace::KeyDigest& key = {});
   /// At most one statement of a caller is unanswered at any time.
   void CallerStatement(TimePoint now, CallerId caller, const std::string& id,
                        Statement statement);
@@ -114,6 +119,12 @@
   /// Lets statements of groups that others keep be forwarded, and others'
   /// statements be run here.
   void SetForwarder(Forwarder* forwarder);
+  /// Has operations of workspaces admitted by `limiter`; null: all are.
+  void SetLimiter(limits::OperationLimiter* limiter);
+  /// What the limiter decided on operations that were pending.
+  void OperationAllowed(TimePoint now, limits::OperationId operation);
+  void OperationRefused(TimePoint now, limits::OperationId operation,
+                        std::chrono::milliseconds retry_after);
   /// All instances that there are, this one included.
   void SetInstances(TimePoint now, const std::string& self,
                     const std::vector<KeeperCandidate>& instances);
@@ -150,6 +161,8 @@
   /// Whether a configured group has no database at all.
   bool LacksDatabases() const;
   uint64_t route_version() const;
+  /// The workspaces in force.
+  const workspace::Workspaces& workspaces() const;
   std::vector<GroupView> groups(TimePoint now) const;
   const ProxyCounters& counters() const;
   size_t callers() const;
--- a/src/include/ryefold/core/session/statement.h
+++ b/src/include/ryefold/core/session/statement.h
@@ -55,6 +55,8 @@
   kNoStatement,         ///< Not run: no prepared statement of this name.
   kMalformed,           ///< Not run: does not fit here, or unreadable.
   kNoRoute,             ///< No such database name is configured.
+  kUnknownKey,          ///< Not run: the caller's key is not configured.
+  kOverLimit,           ///< Not run: the workspace is over its rate limit.
   kNotReady,            ///< Not run: an instance that has only just started.
                         ///< Goes between instances, never to a caller.
   kUnknownCode,         ///< A code this version does not know.
--- a/src/libcore/admission/queue_impl.h
+++ b/src/libcore/admission/queue_impl.h
@@ -14,8 +14,8 @@
 
 #include "lines.h"
 #include "rates.h"
-#include "return_plan.h"
 #include "ryefold/core/admission/queue.h"
+#include "ryefold/core/admission/return_plan.h"
 
 namespace ryefold::core::admission {
 
--- a/src/libcore/admission/return_plan.cc
+++ b/src/libcore/admission/return_plan.cc
@@ -1,4 +1,4 @@
-#include "return_plan.h"
+#include "ryefold/core/admission/return_plan.h"
 
 #include <algorithm>
 
--- a/src/libcore/session/proxy.cc
+++ b/src/libcore/session/proxy.cc
@@ -43,6 +43,7 @@
   if (now < maintain_at_) return;
   maintain_at_ = now + kMaintenance;
   EndIdleTransactions(now);
+  EndExpelled(now);
   MaintainTouch(now);
   MaintainPools(now);
   for (auto& [name, group] : groups_) {
@@ -110,7 +111,7 @@
   view.status = database.status;
   view.applied = database.known;
   view.status_asked = database.status_from;
-  view.connections = database.connections;
+  view.connections = database.pool.size();
   view.in_flight = database.in_flight;
   return view;
 }
@@ -140,8 +141,9 @@
 Proxy::~Proxy() = default;
 
 void Proxy::CallerStarted(TimePoint now, CallerId caller,
-                          const std::string& route) {
-  impl_->CallerStarted(now, caller, route);
+                          const std::string& route,
+                          const workspace::KeyDigest& key) {
+  impl_->CallerStarted(now, caller, route, key);
 }
 void Proxy::CallerStatement(TimePoint now, CallerId caller,
                             const std::string& id, Statement statement) {
@@ -172,6 +174,16 @@
 void Proxy::SetForwarder(Forwarder* forwarder) {
   impl_->SetForwarder(forwarder);
 }
+void Proxy::SetLimiter(limits::OperationLimiter* limiter) {
+  impl_->SetLimiter(limiter);
+}
+void Proxy::OperationAllowed(TimePoint now, limits::OperationId operation) {
+  impl_->OperationAllowed(now, operation);
+}
+void Proxy::OperationRefused(TimePoint now, limits::OperationId operation,
+                             std::chrono::milliseconds retry_after) {
+  impl_->OperationRefused(now, operation, retry_after);
+}
 void Proxy::SetInstances(TimePoint now, const std::string& self,
                          const std::vector<KeeperCandidate>& instances) {
   impl_->SetKeepers(now, self, instances);
@@ -206,6 +218,9 @@
 bool Proxy::ready() const { return impl_->ready(); }
 bool Proxy::LacksDatabases() const { return impl_->LacksDatabases(); }
 void Proxy::RoutesConfirmed(TimePoint when) { impl_->RoutesConfirmed(when); }
+const workspace::Workspaces& Proxy::workspaces() const {
+  return impl_->workspaces();
+}
 uint64_t Proxy::route_version() const { return impl_->route_version(); }
 std::vector<GroupView> Proxy::groups(TimePoint now) const {
   return impl_->Views(now);
--- a/src/libcore/session/proxy_callers.cc
+++ b/src/libcore/session/proxy_callers.cc
@@ -27,7 +27,8 @@
 }  // namespace
 
 void Proxy::Impl::CallerStarted(TimePoint now, CallerId id,
-                                const std::string& route) {
+                                const std::string& route,
+                                const workspace::KeyDigest& key) {
   // Others are further, as a rule: turned away here, a caller is served sooner
   // elsewhere than kept waiting, after a loss of all power too.
   if (!Informed()) {
@@ -48,6 +49,8 @@
   Caller caller;
   caller.id = id;
   caller.route = route;
+  caller.key = key;
+  if (!Admit(now, *found, &caller)) return;
   callers_.emplace(id, std::move(caller));
   port_->AcceptCaller(id);
 }
@@ -153,6 +156,10 @@
                                   Statement statement) {
   Caller* caller = FindCaller(id);
   if (caller == nullptr) return;
+  if (caller->expelled) {
+    AnswerExpelled(now, caller);
+    return;
+  }
   if (AnswerWithoutDatabase(now, caller, statement)) return;
 
   Request request;
@@ -183,6 +190,9 @@
 Request* Proxy::Impl::Keep(Request request) {
   request.id = ++last_request_;
   request.goal_at = request.arrived + request.route->goal;
+  request.line = request.route->name;
+  const std::string& workspace = callers_.at(request.caller).workspace;
+  if (!workspace.empty()) request.line.append("/").append(workspace);
   request.timeout_at = request.arrived + request.route->statement_timeout;
   const RequestId id = request.id;
   Request* kept = &requests_.emplace(id, std::move(request)).first->second;
@@ -219,6 +229,7 @@
     AnswerLocally(caller, ErrorCode::kNoRoute, caller->route);
     return;
   }
+  if (!caller->adopted && !Admit(now, *request.route, caller)) return;
   if (caller->group != request.route->group) {
     caller->group = request.route->group;
     caller->committed = LogPosition();
@@ -233,7 +244,7 @@
   } else {
     request.need = Need::kCoveredRead;
   }
-  Dispatch(now, Keep(std::move(request)));
+  StartOperation(now, *caller, Keep(std::move(request)));
 }
 
 void Proxy::Impl::SetTimer(Request* request, TimePoint when) {
@@ -253,6 +264,9 @@
     InstanceState& keeper = others_[request->forwarded_to];
     if (keeper.under_way > 0) --keeper.under_way;
   }
+  if (request->awaits_limit && limiter_ != nullptr) {
+    limiter_->Cancel(callers_.at(request->caller).workspace, request->id);
+  }
   Group* group = GroupOf(*request);
   if (request->queued && group != nullptr) {
     QueueOf(group, *request)->Remove(request->id);
@@ -318,7 +332,7 @@
   Event(events_, EventWeight::kRequest, "refused")
       .Add("request", request->statement_id)
       .Add("primary", primary == nullptr ? "unknown" : primary->info.id)
-      .Add("connections", primary == nullptr ? 0 : primary->connections)
+      .Add("connections", primary == nullptr ? 0 : primary->pool.size())
       .Add("in_flight", primary == nullptr ? 0 : primary->in_flight)
       .Add("waiting", group == nullptr ? 0
                                        : group->primary_queue.size() +
@@ -387,6 +401,7 @@
     EndTransaction(now, caller, /*roll_back=*/true);
   }
   callers_.erase(id);
+  expelled_.erase(id);
 }
 
 void Proxy::Impl::EndIdleTransactions(TimePoint now) {
--- a/src/libcore/session/proxy_confirming.cc
+++ b/src/libcore/session/proxy_confirming.cc
@@ -115,17 +115,19 @@
       database->status_pending && now - database->status_asked < kStatusOverdue;
   database->status_wanted = false;
   if (pending) return;
-  if (database->idle.empty()) {
+  const std::optional<ConnectionId> idle = database->pool.newest_idle();
+  if (!idle.has_value()) {
     database->status_wanted = true;
     const uint32_t cap = ConnectionCap(*database) + (beyond_cap ? 1 : 0);
-    const bool room = database->connections < cap;
-    if (database->opening == 0 && room && now >= database->open_not_before) {
-      Open(now, database);
+    const bool room = database->pool.size() < cap;
+    const bool opening = database->pool.opening() > 0;
+    if (!opening && room && now >= database->open_not_before) {
+      Open(now, database, "");
     }
     return;
   }
-  Connection* connection = FindConnection(database->idle.back());
-  database->idle.pop_back();
+  Connection* connection = FindConnection(*idle);
+  database->pool.Take(*idle);
   database->status_pending = true;
   database->status_asked = now;
   if (database->info.id != EnsureGroup(database->info.group)->primary) {
--- a/src/libcore/session/proxy_forwarding.cc
+++ b/src/libcore/session/proxy_forwarding.cc
@@ -167,6 +167,9 @@
   forwarded.statement_id = request->statement_id;
   forwarded.statement = request->statement;
   forwarded.route = *request->route;
+  forwarded.config_version = table_.version;
+  forwarded.workspace = caller.workspace;
+  forwarded.key = caller.key;
   forwarded.variables = caller.variables;
   for (const auto& [name, prepared] : caller.prepared) {
     forwarded.prepared[name] = {prepared->writes, prepared->shape};
@@ -292,7 +295,22 @@
     adopted.adopted = true;
     caller = &callers_.emplace(id, std::move(adopted)).first->second;
   }
+  if (!AdmitAdopted(forwarded)) {
+    Reply reply;
+    reply.error = ErrorCode::kUnknownKey;
+    reply.error_text = "key was taken away";
+    if (caller->state == TransactionState::kOpen) {
+      EndTransaction(now, caller, /*roll_back=*/true);
+    }
+    forwarder_->AnswerForwarded(id, reply);
+    return;
+  }
   caller->route = forwarded.route.name;
+  caller->key = forwarded.key;
+  caller->judged_by = std::max(caller->judged_by, forwarded.config_version);
+  if (caller->state != TransactionState::kOpen) {
+    caller->workspace = forwarded.workspace;
+  }
   caller->fixed_route = std::make_shared<const Route>(forwarded.route);
   caller->group = forwarded.route.group;
   caller->committed = forwarded.committed;
--- a/src/libcore/session/proxy_impl.h
+++ b/src/libcore/session/proxy_impl.h
@@ -24,7 +24,8 @@
        AnswerObserver* observer);
 
   // proxy_callers.cc: what callers ask.
-  void CallerStarted(TimePoint now, CallerId id, const std::string& route);
+  void CallerStarted(TimePoint now, CallerId id, const std::string& route,
+                     const workspace::KeyDigest& key);
   void CallerStatement(TimePoint now, CallerId id,
                        const std::string& statement_id, Statement statement);
   void CallerGone(TimePoint now, CallerId id);
@@ -32,6 +33,13 @@
   void DrainCallers(TimePoint now);
   void EndIdleTransactions(TimePoint now);
 
+  // proxy_identity.cc: workspaces and their limits.
+  void SetLimiter(limits::OperationLimiter* limiter) { limiter_ = limiter; }
+  void OperationAllowed(TimePoint now, RequestId id);
+  void OperationRefused(TimePoint now, RequestId id,
+                        std::chrono::milliseconds retry_after);
+  const workspace::Workspaces& workspaces() const { return workspaces_; }
+
   // proxy_instances.cc: the other instances.
   void SetForwarder(Forwarder* forwarder) { forwarder_ = forwarder; }
   void SetKeepers(TimePoint now, const std::string& self,
@@ -102,6 +110,16 @@
   bool Informed() const;
 
   // Callers and requests.
+  // Who callers are (proxy_identity.cc).
+  bool Admit(TimePoint now, const Route& route, Caller* caller);
+  bool StillKnown(const Caller& caller) const;
+  void ExpelCallers(TimePoint now);
+  void AnswerExpelled(TimePoint now, Caller* caller);
+  void EndExpelled(TimePoint now);
+  void StartOperation(TimePoint now, const Caller& caller, Request* request);
+  bool AdmitAdopted(const ForwardedStatement& forwarded) const;
+  bool BelongsTo(TimePoint now, Connection* connection, Request* request);
+
   Reply LocalReply(const Caller& caller) const;
   void Tell(const Caller& caller, const Reply& reply);
   void AnswerLocally(Caller* caller, ErrorCode error, const std::string& text);
@@ -158,6 +176,7 @@
   void NoteCommit(TimePoint now, Caller* caller, const Reply& reply);
 
   // Placing.
+  void NoteDemand(TimePoint now, Group* group, const Request& request);
   bool TryPlace(TimePoint now, Request* request);
   bool PlaceOnPrimary(TimePoint now, Request* request, Group* group);
   bool PlaceOnAny(TimePoint now, Request* request, Group* group);
@@ -230,8 +249,11 @@
   Connection* TakeIdle(TimePoint now, DatabaseState* database,
                        const Caller& caller);
   bool MayOpen(TimePoint now, const DatabaseState& database) const;
+  bool MayOpenFor(TimePoint now, const DatabaseState& database,
+                  const std::string& workspace) const;
   void OpenFirst(TimePoint now, const Group& group);
-  void Open(TimePoint now, DatabaseState* database);
+  void Open(TimePoint now, DatabaseState* database,
+            const std::string& workspace);
   void CloseConnection(TimePoint now, Connection* connection);
   void DropConnection(TimePoint now, ConnectionId id);
   void Heard(TimePoint now, DatabaseState* database);
@@ -263,10 +285,13 @@
   SessionPort* port_;
   /// Null where instances do not forward to each other.
   Forwarder* forwarder_ = nullptr;
+  /// Null where no limits are kept.
+  limits::OperationLimiter* limiter_ = nullptr;
   EventSink* events_;
   AnswerObserver* observer_;
 
   RouteTable table_;
+  workspace::Workspaces workspaces_;
   TimePoint routes_confirmed_at_;
   std::map<std::string, std::shared_ptr<const Route>> routes_;
   bool have_routes_ = false;
@@ -292,6 +317,8 @@
   RequestId last_request_ = 0;
   ConnectionId last_connection_ = 0;
   TimePoint maintain_at_;
+  /// Whose keys were taken away, until their sessions have ended.
+  std::set<CallerId> expelled_;
   bool draining_ = false;
   TimePoint transactions_until_;
   TimePoint drain_end_;
--- a/src/libcore/session/proxy_leadership.cc
+++ b/src/libcore/session/proxy_leadership.cc
@@ -212,7 +212,7 @@
 /// new ones work. With as many as may be open the primary would seem lost until
 /// they are given up; one more finds out, and then serves.
 bool Proxy::Impl::AskAnew(TimePoint now, DatabaseState* primary) {
-  if (primary == nullptr || !primary->idle.empty()) return false;
+  if (primary == nullptr || !primary->pool.idle().empty()) return false;
   if (primary->silent_since == TimePoint()) return false;
   if (now - primary->silent_since < kAskAnewAfter) return false;
   AskStatus(now, primary, /*beyond_cap=*/true);
@@ -223,9 +223,11 @@
 /// a slot, and only by a database that takes itself for the primary.
 void Proxy::Impl::ProbeLead(TimePoint now, Group* group) {
   DatabaseState* database = FindDatabase(group->primary);
-  if (database == nullptr || database->idle.empty()) return;
-  Connection* connection = FindConnection(database->idle.back());
-  database->idle.pop_back();
+  if (database == nullptr) return;
+  const std::optional<ConnectionId> idle = database->pool.newest_idle();
+  if (!idle.has_value()) return;
+  Connection* connection = FindConnection(*idle);
+  database->pool.Take(*idle);
   BackendCall begin;
   begin.kind = CallKind::kBegin;
   BackendCall end;
--- a/src/libcore/session/proxy_placing.cc
+++ b/src/libcore/session/proxy_placing.cc
@@ -38,6 +38,8 @@
 /// Names that one connection keeps prepared before it is cleared. Databases
 /// hold them in memory for each connection.
 constexpr size_t kMaxPrepared = 100;
+/// Classes of workspaces within one class of routes.
+constexpr uint32_t kWorkspaceClasses = 16;
 /// Prefix of prepared names on connections.
 constexpr const char* kPreparedPrefix = "p";
 
@@ -69,7 +71,29 @@
   return any ? &group->read_queue : &group->primary_queue;
 }
 
+/// Counts a statement that asks to be served for the first time. A line that is
+/// new gets its class at once.
+void Proxy::Impl::NoteDemand(TimePoint now, Group* group,
+                             const Request& request) {
+  if (request.attempts > 0) return;
+  group->demand.Arrived(now, request.line);
+  const Caller& caller = callers_.at(request.caller);
+  const workspace::WorkspaceRef workspace = workspaces_.Find(caller.workspace);
+  const uint32_t within = workspace == nullptr ? 0 : workspace->priority;
+  const uint32_t priority = request.route->priority * kWorkspaceClasses +
+                            std::min(within, kWorkspaceClasses - 1);
+  const auto [line, added] = group->lines.try_emplace(request.line, priority);
+  if (!added && line->second == priority) return;
+  line->second = priority;
+  SetPolicies(now, group);
+}
+
 void Proxy::Impl::Dispatch(TimePoint now, Request* request) {
+  if (callers_.at(request->caller).expelled) {
+    Refuse(now, request, ErrorCode::kUnknownKey, milliseconds(0),
+           "key_dropped");
+    return;
+  }
   Group* group = GroupOf(*request);
   const bool elsewhere = group != nullptr && !group->kept &&
                          forwarder_ != nullptr &&
@@ -88,7 +112,7 @@
     return;
   }
   group->used_at = now;
-  if (request->attempts == 0) group->demand.Arrived(now, request->route->name);
+  NoteDemand(now, group, *request);
   if (request->writes && WritesHeld(*request)) {
     if (TryDetour(now, request, group)) return;
     RefuseHeld(now, request, no_primary);
@@ -111,7 +135,7 @@
 
   admission::Ticket ticket;
   ticket.tag = request->id;
-  ticket.workspace = request->route->name;
+  ticket.workspace = request->line;
   ticket.enqueued = request->arrived;
   ticket.deadline =
       now < request->goal_at ? request->goal_at : request->timeout_at;
@@ -142,7 +166,7 @@
 double Proxy::Impl::ServiceRate(TimePoint now,
                                 const DatabaseState& database) const {
   if (database.info.draining || Suspect(now, database)) return 0;
-  const uint32_t open = database.connections - database.opening;
+  const uint32_t open = database.pool.size() - database.pool.opening();
   const double hold =
       std::chrono::duration<double>(database.hold.mean()).count();
   return std::max(open, 1U) / std::max(hold, kLeastHold);
@@ -234,12 +258,16 @@
                                                 const Group& group,
                                                 const Watermarks::Mark& mark) {
   const auto age = std::chrono::duration_cast<milliseconds>(now - mark.at);
+  const std::string& workspace = callers_.at(request.caller).workspace;
   std::vector<ReadCandidate> candidates;
   for (size_t i = 0; i < group.databases.size(); ++i) {
     const DatabaseState& database = databases_.at(group.databases[i]);
     const bool primary = group.primary == database.info.id;
     if (!TakesWork(now, database)) continue;
-    if (database.idle.empty() && !MayOpen(now, database)) continue;
+    if (!database.pool.HasIdle(workspace) &&
+        !MayOpenFor(now, database, workspace)) {
+      continue;
+    }
     const auto& refused = request.turned_down;
     if (!primary &&
         std::count(refused.begin(), refused.end(), database.info.id) > 0) {
@@ -273,8 +301,8 @@
       ReadOrder(now, *request, *group, *mark);
   for (const std::string& id : order) {
     DatabaseState* database = FindDatabase(id);
-    if (database->idle.empty()) continue;
     Connection* connection = TakeIdle(now, database, caller);
+    if (connection == nullptr) continue;
     Send(now, connection, request, mark);
     return true;
   }
@@ -339,6 +367,7 @@
 
 void Proxy::Impl::Send(TimePoint now, Connection* connection, Request* request,
                        const std::optional<Watermarks::Mark>& mark) {
+  if (!BelongsTo(now, connection, request)) return;
   DatabaseState* database = FindDatabase(connection->database);
   const Caller& caller = callers_.at(request->caller);
   std::vector<BackendCall> calls;
--- a/src/libcore/session/proxy_pool.cc
+++ b/src/libcore/session/proxy_pool.cc
@@ -66,14 +66,14 @@
   return group.get();
 }
 
-/// Shares of the group's workspaces, by what each asks for as a rule.
+/// Shares of the group's lines, by what each asks for as a rule.
 void Proxy::Impl::SetPolicies(TimePoint now, Group* group) {
   std::vector<WorkspacePolicy> policies;
-  for (const std::shared_ptr<const Route>& route : group->routes) {
+  for (const auto& [line, priority] : group->lines) {
     WorkspacePolicy policy;
-    policy.workspace = route->name;
-    policy.priority = route->priority;
-    policy.weight = group->demand.weight(now, route->name);
+    policy.workspace = line;
+    policy.priority = priority;
+    policy.weight = group->demand.weight(now, line);
     policies.push_back(std::move(policy));
   }
   group->primary_queue.SetPolicies(policies, kQueueLimit);
@@ -88,6 +88,7 @@
       .Add("previous", table_.version)
       .Add("routes", routes.routes.size());
   table_ = routes;
+  const bool keys_dropped = workspaces_.Replace(routes.workspaces);
   have_routes_ = true;
   routes_.clear();
   for (const auto& [name, limits] : table_.groups) {
@@ -95,13 +96,17 @@
   }
   // Databases of a group that is configured only now have been passed over.
   if (have_roster_) OnRoster(now, Roster(roster_));
-  for (auto& [name, group] : groups_) group->routes.clear();
+  for (auto& [name, group] : groups_) {
+    group->routes.clear();
+    group->lines.clear();
+  }
   for (const auto& [name, route] : table_.routes) {
     routes_[name] = std::make_shared<const Route>(route);
     EnsureGroup(route.group)->routes.push_back(routes_[name]);
   }
   for (auto& [name, group] : groups_) SetPolicies(now, group.get());
   ChooseAllKeepers(now);
+  if (keys_dropped) ExpelCallers(now);
   PumpAll(now);
 }
 
@@ -136,7 +141,7 @@
     database.unlisted = false;
     Group* group = EnsureGroup(info.group);
     if (!known) group->databases.push_back(id);
-    if (!known && group->kept) Open(now, &database);
+    if (!known && group->kept) Open(now, &database, "");
   }
   for (auto& [id, database] : databases_) {
     if (roster.count(id) > 0 || database.unlisted) continue;
@@ -177,7 +182,8 @@
 }
 
 bool Proxy::Impl::Suspect(TimePoint now, const DatabaseState& database) const {
-  if (database.refusals > 0 && database.connections == database.opening) {
+  if (database.refusals > 0 &&
+      database.pool.size() == database.pool.opening()) {
     return true;
   }
   if (database.silent_since == TimePoint()) return false;
@@ -191,9 +197,9 @@
 bool Proxy::Impl::MayAnswer(TimePoint now,
                             const DatabaseState& database) const {
   const bool unreached =
-      database.refusals > 0 && database.connections == database.opening;
+      database.refusals > 0 && database.pool.size() == database.pool.opening();
   if (!unreached) return !Suspect(now, database);
-  return database.opening == 0 && now >= database.open_not_before;
+  return database.pool.opening() == 0 && now >= database.open_not_before;
 }
 
 uint32_t Proxy::Impl::Window(const DatabaseState& database) const {
@@ -225,47 +231,72 @@
 }
 
 bool Proxy::Impl::MayOpen(TimePoint now, const DatabaseState& database) const {
-  return now >= database.open_not_before && database.opening < kMaxOpening &&
-         database.connections < ConnectionCap(database);
+  return now >= database.open_not_before &&
+         database.pool.opening() < kMaxOpening &&
+         database.pool.size() < ConnectionCap(database);
+}
+
+/// The same for a workspace, for which an idle connection of another one may be
+/// closed.
+bool Proxy::Impl::MayOpenFor(TimePoint now, const DatabaseState& database,
+                             const std::string& workspace) const {
+  const DatabasePool& pool = database.pool;
+  if (now < database.open_not_before) return false;
+  if (pool.opening() >= kMaxOpening || pool.opening(workspace) > 0) {
+    return false;
+  }
+  const uint32_t cap = ConnectionCap(database);
+  if (pool.size() < cap) return true;
+  return pool.size() == cap && pool.EvictableFor(now, workspace).has_value();
 }
 
-void Proxy::Impl::Open(TimePoint now, DatabaseState* database) {
+void Proxy::Impl::Open(TimePoint now, DatabaseState* database,
+                       const std::string& workspace) {
   Connection connection;
   connection.id = ++last_connection_;
   connection.database = database->info.id;
+  connection.workspace = workspace;
   connection.open_until = now + kOpenTime;
   const ConnectionId id = connection.id;
   connections_.emplace(id, std::move(connection));
-  ++database->opening;
-  ++database->connections;
+  database->pool.Opening(id, workspace);
   ++database->unanswered;
   Sent(now, database);
   ++counters_.connections_opened;
-  port_->OpenConnection(id, database->info);
+  port_->OpenConnection(id, database->info, workspace);
 }
 
 Connection* Proxy::Impl::TakeIdle(TimePoint now, DatabaseState* database,
                                   const Caller& caller) {
-  std::vector<ConnectionId>& idle = database->idle;
-  if (idle.empty()) return nullptr;
-  // One that already has the session's variables saves bringing them.
-  auto chosen = std::find_if(
-      idle.rbegin(), idle.rend(), [this, &caller](ConnectionId id) {
-        return connections_.at(id).variables == caller.variables;
-      });
-  if (chosen == idle.rend()) chosen = idle.rbegin();
-  const ConnectionId id = *chosen;
-  idle.erase(std::next(chosen).base());
-  Connection* connection = &connections_.at(id);
-  connection->taken_at = now;
-  return connection;
+  const std::vector<DatabasePool::Idle>& idle = database->pool.idle();
+  Connection* chosen = nullptr;
+  for (auto each = idle.rbegin(); each != idle.rend(); ++each) {
+    if (each->workspace != caller.workspace) continue;
+    Connection* connection = &connections_.at(each->connection);
+    if (chosen == nullptr) chosen = connection;
+    // One that already has the session's variables saves bringing them.
+    if (connection->variables != caller.variables) continue;
+    chosen = connection;
+    break;
+  }
+  if (chosen == nullptr) return nullptr;
+  database->pool.Take(chosen->id);
+  chosen->taken_at = now;
+  return chosen;
 }
 
 Connection* Proxy::Impl::Acquire(TimePoint now, DatabaseState* database,
                                  const Caller& caller) {
   Connection* connection = TakeIdle(now, database, caller);
   if (connection != nullptr) return connection;
-  if (MayOpen(now, *database)) Open(now, database);
+  if (!MayOpenFor(now, *database, caller.workspace)) return nullptr;
+  if (database->pool.size() >= ConnectionCap(*database)) {
+    const auto evicted = database->pool.EvictableFor(now, caller.workspace);
+    if (!evicted.has_value()) return nullptr;
+    CloseConnection(now, FindConnection(*evicted));
+    ++counters_.connections_evicted;
+  }
+  Open(now, database, caller.workspace);
   return nullptr;
 }
 
@@ -283,7 +314,7 @@
   if (connection == nullptr) return;
   DatabaseState* database = FindDatabase(connection->database);
   connection->open = true;
-  --database->opening;
+  database->pool.Opened(id);
   --database->unanswered;
   if (database->refusals > 0) {
     Event(events_, EventWeight::kState, "database_reachable")
@@ -332,14 +363,10 @@
       database->status_pending = false;
     }
   }
-  if (!connection.open) {
-    --database->opening;
-    ++unanswered;
-  }
+  if (!connection.open) ++unanswered;
   database->unanswered -= std::min(unanswered, database->unanswered);
   if (database->unanswered == 0) database->silent_since = TimePoint();
-  --database->connections;
-  std::erase(database->idle, id);
+  database->pool.Remove(id);
   connections_.erase(found);
   (void)now;
 }
@@ -377,16 +404,18 @@
                                  const std::string& database) {
   DatabaseState* state = FindDatabase(database);
   if (state == nullptr || state->last_heard > since) return;
-  const std::vector<ConnectionId> idle = state->idle;
-  for (const ConnectionId id : idle) CloseConnection(now, FindConnection(id));
+  const std::vector<DatabasePool::Idle> idle = state->pool.idle();
+  for (const DatabasePool::Idle& each : idle) {
+    CloseConnection(now, FindConnection(each.connection));
+  }
 }
 
 void Proxy::Impl::TrimIdle(TimePoint now, DatabaseState* database) {
   const size_t wanted = EnsureGroup(database->info.group)->kept ? 1 : 0;
-  if (database->idle.size() <= wanted) return;
-  Connection* oldest = FindConnection(database->idle.front());
-  if (now - oldest->idle_since < kIdleTime) return;
-  CloseConnection(now, oldest);
+  if (database->pool.idle().size() <= wanted) return;
+  const DatabasePool::Idle& oldest = database->pool.idle().front();
+  if (now - oldest.since < kIdleTime) return;
+  CloseConnection(now, FindConnection(oldest.connection));
 }
 
 bool Proxy::Impl::HasFallenSilent(TimePoint now,
@@ -472,8 +501,8 @@
 void Proxy::Impl::OpenFirst(TimePoint now, const Group& group) {
   for (const std::string& id : group.databases) {
     DatabaseState* database = FindDatabase(id);
-    if (database->connections > 0 || !MayOpen(now, *database)) continue;
-    Open(now, database);
+    if (database->pool.size() > 0 || !MayOpen(now, *database)) continue;
+    Open(now, database, "");
   }
 }
 
--- a/src/libcore/session/proxy_replies.cc
+++ b/src/libcore/session/proxy_replies.cc
@@ -89,8 +89,7 @@
           now - connection->taken_at));
     }
     connection->taken_at = TimePoint();
-    connection->idle_since = now;
-    database->idle.push_back(connection->id);
+    database->pool.Return(now, connection->id);
   }
   if (database->status_wanted) AskStatus(now, database, /*beyond_cap=*/false);
   Pump(now, group);
--- a/src/libcore/session/state.h
+++ b/src/libcore/session/state.h
@@ -14,6 +14,7 @@
 
 #include "ryefold/core/admission/queue.h"
 #include "ryefold/core/admission/usual_demand.h"
+#include "ryefold/core/session/database_pool.h"
 #include "ryefold/core/session/forwarding.h"
 #include "ryefold/core/session/leadership_proof.h"
 #include "ryefold/core/session/placement.h"
@@ -60,6 +61,14 @@
   /// Route that came with a forwarded statement.
   std::shared_ptr<const Route> fixed_route;
   std::string route;
+  /// Of the key that it came with.
+  workspace::KeyDigest key;
+  /// Empty for a caller without one. Connections of no other are used for it.
+  std::string workspace;
+  /// Adopted only: version of the configuration by which it was admitted.
+  uint64_t judged_by = 0;
+  /// Its key was taken away: the session ends with the answer under way.
+  bool expelled = false;
   std::map<std::string, std::string> variables;
   std::map<std::string, PreparedRef> prepared;
   TransactionState state = TransactionState::kIdle;
@@ -90,6 +99,9 @@
   CallerId caller = 0;
   std::string statement_id;
   Statement statement;
+  /// Names the line in the group's queues: the route's callers of one
+  /// workspace.
+  std::string line;
   /// kExecute only.
   PreparedRef prepared;
   std::shared_ptr<const Route> route;
@@ -101,6 +113,8 @@
   /// Next time at which something is due; the key in the timer set.
   TimePoint timer;
   bool queued = false;
+  /// Waits for the word that its workspace is below its limit.
+  bool awaits_limit = false;
   /// How often another database was asked since one kept silent.
   uint32_t hedges = 0;
   /// A read that a database failed was asked once more elsewhere.
@@ -157,6 +171,8 @@
 struct Connection {
   ConnectionId id = 0;
   std::string database;
+  /// For its whole life; empty: of none.
+  std::string workspace;
   bool open = false;
   TimePoint open_until;
   std::map<std::string, std::string> variables;
@@ -169,7 +185,6 @@
   bool proof_failed = false;
   /// To be closed when the last answer has come.
   bool spoilt = false;
-  TimePoint idle_since;
   /// When it was last taken out of the pool.
   TimePoint taken_at;
 };
@@ -180,10 +195,7 @@
   bool unlisted = false;
   TimePoint gone_at;
   TimePoint draining_since;
-  std::vector<ConnectionId> idle;
-  uint32_t opening = 0;
-  /// Including those being opened.
-  uint32_t connections = 0;
+  DatabasePool pool;
   /// Statements of callers that it has not answered.
   uint32_t in_flight = 0;
   /// Calls of any kind, and openings, that it has not answered.
@@ -255,9 +267,11 @@
   std::vector<RequestId> unproved;
   admission::Queue primary_queue;
   admission::Queue read_queue;
-  /// What workspaces ask for as a rule, and when their shares are worked out
+  /// What each line asks for as a rule, and when their shares are worked out
   /// from it anew.
   admission::UsualDemand demand;
+  /// Lines of which statements have come, and their classes.
+  std::map<std::string, uint32_t> lines;
   TimePoint weigh_at;
   /// Routes that lead here.
   std::vector<std::shared_ptr<const Route>> routes;
--- a/src/libcore/session/statement.cc
+++ b/src/libcore/session/statement.cc
@@ -11,6 +11,8 @@
     case ErrorCode::kTooManyConnections:
     case ErrorCode::kNoStatement:
     case ErrorCode::kNotReady:
+    case ErrorCode::kUnknownKey:
+    case ErrorCode::kOverLimit:
       return true;
     default:
       return false;
@@ -45,6 +47,10 @@
       return "malformed";
     case ErrorCode::kNoRoute:
       return "no_route";
+    case ErrorCode::kUnknownKey:
+      return "unknown_key";
+    case ErrorCode::kOverLimit:
+      return "over_limit";
     case ErrorCode::kNotReady:
       return "not_ready";
     case ErrorCode::kUnknownCode:
--- a/src/libwire/session_codec.cc
+++ b/src/libwire/session_codec.cc
@@ -33,11 +33,12 @@
   int64_t goal_ms = 0;
   int64_t staleness_ms = 0;
   uint32_t priority = 0;
+  bool open_to_all = false;
   MSGPACK_DEFINE_MAP(MSGPACK_NVP("n", name), MSGPACK_NVP("g", group),
                      MSGPACK_NVP("f", freshness), MSGPACK_NVP("to", timeout_ms),
                      MSGPACK_NVP("go", goal_ms),
                      MSGPACK_NVP("st", staleness_ms),
-                     MSGPACK_NVP("p", priority))
+                     MSGPACK_NVP("p", priority), MSGPACK_NVP("o", open_to_all))
 };
 
 struct PreparedMap {
@@ -55,6 +56,10 @@
   std::string argument;
   bool writes = false;
   RouteMap route;
+  uint64_t config_version = 0;
+  std::string workspace;
+  uint64_t key_high = 0;
+  uint64_t key_low = 0;
   std::map<std::string, std::string> variables;
   std::map<std::string, PreparedMap> prepared;
   PositionMap committed;
@@ -63,8 +68,10 @@
                      MSGPACK_NVP("k", kind), MSGPACK_NVP("t", text),
                      MSGPACK_NVP("n", name), MSGPACK_NVP("a", argument),
                      MSGPACK_NVP("w", writes), MSGPACK_NVP("r", route),
-                     MSGPACK_NVP("v", variables), MSGPACK_NVP("p", prepared),
-                     MSGPACK_NVP("c", committed),
+                     MSGPACK_NVP("cv", config_version),
+                     MSGPACK_NVP("ws", workspace), MSGPACK_NVP("kh", key_high),
+                     MSGPACK_NVP("kl", key_low), MSGPACK_NVP("v", variables),
+                     MSGPACK_NVP("p", prepared), MSGPACK_NVP("c", committed),
                      MSGPACK_NVP("tx", in_transaction))
 };
 
@@ -99,7 +106,12 @@
                statement.route.statement_timeout.count(),
                statement.route.goal.count(),
                statement.route.max_staleness.count(),
-               statement.route.priority};
+               statement.route.priority,
+               statement.route.open_to_all};
+  map.config_version = statement.config_version;
+  map.workspace = statement.workspace;
+  map.key_high = statement.key.high;
+  map.key_low = statement.key.low;
   map.variables = statement.variables;
   for (const auto& [name, prepared] : statement.prepared) {
     map.prepared[name] = {prepared.writes, prepared.shape};
@@ -132,6 +144,10 @@
   statement.route.goal = milliseconds(map.route.goal_ms);
   statement.route.max_staleness = milliseconds(map.route.staleness_ms);
   statement.route.priority = map.route.priority;
+  statement.route.open_to_all = map.route.open_to_all;
+  statement.config_version = map.config_version;
+  statement.workspace = std::move(map.workspace);
+  statement.key = {map.key_high, map.key_low};
   statement.variables = std::move(map.variables);
   for (auto& [name, prepared] : map.prepared) {
     statement.prepared[name] = {prepared.writes, std::move(prepared.shape)};
--- a/testsuite/support/session/instance_host.h
+++ b/testsuite/support/session/instance_host.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -94,6 +95,8 @@
   core::session::ForwardedStatement last_forwarded;
   std::string last_keeper;
   uint32_t connection_limit = 21;
+  /// What the store holds instead of `TestRoutes`.
+  std::optional<RouteTable> routes;
   /// Instances that no other one reaches, nor they any other.
   std::set<std::string> parted;
 
@@ -162,9 +165,10 @@
     listener_->OnClosed(caller, error);
   }
 
-  void OpenConnection(ConnectionId connection,
-                      const Database& database) override {
+  void OpenConnection(ConnectionId connection, const Database& database,
+                      const std::string& workspace) override {
     ++opened_;
+    workspaces_[connection] = workspace;
     databases_[connection] = database.id;
     if (cut_.count(database.id) > 0) return;
     clock_->After(
@@ -187,6 +191,8 @@
     const uint64_t session = found->second;
     for (const BackendCall& call : calls) {
       status_calls_ += call.kind == CallKind::kStatus ? 1 : 0;
+      if (call.id.empty()) continue;
+      sent_for_.emplace_back(call.text, workspaces_.at(connection));
     }
     clock_->After(
         milliseconds(1), [this, connection, session, calls, life = life_] {
@@ -234,6 +240,11 @@
     }
   }
   uint32_t opened() const { return opened_; }
+  /// Text of each statement of a caller that was sent, and whose connection it
+  /// went to.
+  const std::vector<std::pair<std::string, std::string>>& sent_for() const {
+    return sent_for_;
+  }
   /// Status calls that were sent.
   uint32_t status_calls() const { return status_calls_; }
 
@@ -338,7 +349,8 @@
   }
 
   void ReadStore() {
-    proxy_->OnRoutes(clock_->now(), TestRoutes(fleet_->connection_limit));
+    proxy_->OnRoutes(clock_->now(), fleet_->routes.value_or(
+                                        TestRoutes(fleet_->connection_limit)));
     proxy_->OnRoster(clock_->now(), TestRoster(*cluster_));
     proxy_->SetInstances(clock_->now(), name_, fleet_->candidates);
   }
@@ -386,6 +398,8 @@
   std::map<ConnectionId, uint64_t> sessions_;
   std::set<CallerId> accepted_;
   std::map<ConnectionId, std::string> databases_;
+  std::map<ConnectionId, std::string> workspaces_;
+  std::vector<std::pair<std::string, std::string>> sent_for_;
   std::set<std::string> cut_;
   uint32_t opened_ = 0;
   uint32_t status_calls_ = 0;
