Connections of workspaces: found again instead of opened anew

A read that waits had one opened at each of three databases, one after the other, as events came in; and idle ones were closed after 0.5 s, before their workspace came back.

Deployments without workspaces keep eight keepers and 0.5 s.

--- a/src/include/ryefold/core/session/database_pool.h
+++ b/src/include/ryefold/core/session/database_pool.h
@@ -29,7 +29,8 @@
 
   /// A connection is being opened for `workspace`; empty: for the proxy's own
   /// calls and for callers without a workspace.
-  void Opening(ConnectionId connection, const std::string& workspace);
+  void Opening(TimePoint now, ConnectionId connection,
+               const std::string& workspace);
   void Opened(ConnectionId connection);
   /// The connection is gone, or its opening failed.
   void Remove(ConnectionId connection);
@@ -52,12 +53,15 @@
   uint32_t size() const { return static_cast<uint32_t>(members_.size()); }
   uint32_t opening() const { return opening_; }
   uint32_t opening(const std::string& workspace) const;
+  /// Whether a connection for the workspace is likely to open in a moment.
+  bool OpensSoon(TimePoint now, const std::string& workspace) const;
   /// Connections of the workspace, those being opened included.
   uint32_t held(const std::string& workspace) const;
 
  private:
   struct Member {
     std::string workspace;
+    TimePoint opening_since;
     bool open = false;
     bool used = false;
   };
--- a/src/include/ryefold/core/session/forwarding.h
+++ b/src/include/ryefold/core/session/forwarding.h
@@ -100,8 +100,10 @@
 
 /// How many instances hold connections to each database of a group; 0: all.
 /// Derived from the connections that a database takes and the number of
-/// instances.
-size_t KeeperCount(uint32_t connection_limit, size_t instances);
+/// instances. `by_workspace`: each connection serves one workspace only, so
+/// that few keepers with many connections each find the right one more often.
+size_t KeeperCount(uint32_t connection_limit, size_t instances,
+                   bool by_workspace = false);
 
 /// Connections that each of `keepers` may hold to one database.
 uint32_t ConnectionsOfKeeper(uint32_t connection_limit, size_t keepers);
--- a/src/libcore/session/database_pool.cc
+++ b/src/libcore/session/database_pool.cc
@@ -8,11 +8,16 @@
 /// Time in which what a connection was opened for takes it up, as a rule.
 constexpr std::chrono::milliseconds kFreshTime{100};
 
+/// Time that opening a connection to a database in good order takes at most.
+constexpr std::chrono::milliseconds kOpensSoon{60};
+
 }  // namespace
 
-void DatabasePool::Opening(ConnectionId connection,
+void DatabasePool::Opening(TimePoint now, ConnectionId connection,
                            const std::string& workspace) {
-  members_[connection] = {workspace, /*open=*/false};
+  Member& member = members_[connection];
+  member.workspace = workspace;
+  member.opening_since = now;
   ++opening_;
 }
 
@@ -73,6 +78,16 @@
       }));
 }
 
+bool DatabasePool::OpensSoon(TimePoint now,
+                             const std::string& workspace) const {
+  return std::any_of(members_.begin(), members_.end(),
+                     [now, &workspace](const auto& entry) {
+                       const Member& member = entry.second;
+                       return !member.open && member.workspace == workspace &&
+                              now - member.opening_since < kOpensSoon;
+                     });
+}
+
 uint32_t DatabasePool::held(const std::string& workspace) const {
   return static_cast<uint32_t>(std::count_if(
       members_.begin(), members_.end(), [&workspace](const auto& entry) {
--- a/src/libcore/session/forwarding.cc
+++ b/src/libcore/session/forwarding.cc
@@ -29,6 +29,8 @@
 /// beyond the most a keeper's queue would be too short to order by priority.
 constexpr size_t kLeastKeepers = 3;
 constexpr size_t kMostKeepers = 8;
+/// The same where each connection serves one workspace.
+constexpr size_t kMostByWorkspace = 4;
 
 size_t Usable(uint32_t connection_limit) {
   return connection_limit * kUsedPercent / 100;
@@ -41,11 +43,13 @@
 
 }  // namespace
 
-size_t KeeperCount(uint32_t connection_limit, size_t instances) {
+size_t KeeperCount(uint32_t connection_limit, size_t instances,
+                   bool by_workspace) {
   const bool enough = instances * kOwnConnections <= connection_limit;
   if (enough && instances <= kMostOwn) return 0;
   return std::clamp(Usable(connection_limit) / kKeeperConnections,
-                    kLeastKeepers, kMostKeepers);
+                    kLeastKeepers,
+                    by_workspace ? kMostByWorkspace : kMostKeepers);
 }
 
 uint32_t ConnectionsOfKeeper(uint32_t connection_limit, size_t keepers) {
--- a/src/libcore/session/proxy_impl.h
+++ b/src/libcore/session/proxy_impl.h
@@ -37,7 +37,7 @@
   void SetLimiter(limits::OperationLimiter* limiter) { limiter_ = limiter; }
   void OperationAllowed(TimePoint now, RequestId id);
   void OperationRefused(TimePoint now, RequestId id,
-                        std::chrono::milliseconds retry_after);
+                        const limits::LimitAnswer& answer);
   const workspace::Workspaces& workspaces() const { return workspaces_; }
 
   // proxy_instances.cc: the other instances.
@@ -117,6 +117,8 @@
   void AnswerExpelled(TimePoint now, Caller* caller);
   void EndExpelled(TimePoint now);
   void StartOperation(TimePoint now, const Caller& caller, Request* request);
+  void RefuseForLimit(TimePoint now, Request* request,
+                      const limits::LimitAnswer& answer);
   bool AdmitAdopted(const ForwardedStatement& forwarded) const;
   bool BelongsTo(TimePoint now, Connection* connection, Request* request);
 
@@ -152,6 +154,9 @@
   void ChooseAllKeepers(TimePoint now);
   const KeeperCandidate* ChooseKeeper(TimePoint now, const Request& request,
                                       const Group& group) const;
+  uint32_t PlaceAmongNeighbours(const std::string& workspace,
+                                const KeeperCandidate& keeper,
+                                const Group& group) const;
   bool NoPrimaryThere(TimePoint now, const Request& request, const Group& group,
                       const InstanceState& keeper) const;
   bool MayRunAlone(TimePoint now, const Request& request,
--- a/src/libcore/session/proxy_instances.cc
+++ b/src/libcore/session/proxy_instances.cc
@@ -22,6 +22,10 @@
 /// Cost of another failure domain in the choice of a keeper, in statements
 /// under way there.
 constexpr uint32_t kOtherDomain = 3;
+/// The same for each keeper of the same failure domain that comes before it in
+/// the order for the workspace: statements of one workspace meet where its
+/// connections are, and go on to the next keeper when that one has much to do.
+constexpr uint32_t kNextInOrder = 1;
 
 }  // namespace
 
@@ -114,7 +118,8 @@
   if (!have_instances_) return;
   for (auto& [name, group] : groups_) {
     const size_t count =
-        KeeperCount(group->limits.connection_limit, instances_.size());
+        KeeperCount(group->limits.connection_limit, instances_.size(),
+                    workspaces_.keys_required());
     std::vector<KeeperCandidate> keepers;
     if (count > 0) keepers = ChooseKeepers(name, instances_, count);
     const bool among = std::any_of(
@@ -133,6 +138,18 @@
   }
 }
 
+uint32_t Proxy::Impl::PlaceAmongNeighbours(const std::string& workspace,
+                                           const KeeperCandidate& keeper,
+                                           const Group& group) const {
+  std::vector<KeeperCandidate> neighbours;
+  for (const KeeperCandidate& each : group.keepers) {
+    if (each.failure_domain == keeper.failure_domain)
+      neighbours.push_back(each);
+  }
+  return static_cast<uint32_t>(
+      RankAmong(workspace, keeper.instance, neighbours));
+}
+
 /// The keeper with the least under way, the own failure domain preferred;
 /// among equals callers spread by their numbers.
 const KeeperCandidate* Proxy::Impl::ChooseKeeper(TimePoint now,
@@ -141,6 +158,7 @@
   const KeeperCandidate* best = nullptr;
   uint32_t best_cost = 0;
   const size_t count = group.keepers.size();
+  const std::string& workspace = callers_.at(request.caller).workspace;
   for (size_t i = 0; i < count; ++i) {
     const KeeperCandidate& keeper = group.keepers[(i + request.caller) % count];
     const auto& refused = request.turned_down;
@@ -158,6 +176,9 @@
     if (keeper.failure_domain != settings_.failure_domain) {
       cost += kOtherDomain;
     }
+    if (!workspace.empty()) {
+      cost += kNextInOrder * PlaceAmongNeighbours(workspace, keeper, group);
+    }
     if (best != nullptr && cost >= best_cost) continue;
     best = &keeper;
     best_cost = cost;
--- a/src/libcore/session/proxy_placing.cc
+++ b/src/libcore/session/proxy_placing.cc
@@ -306,8 +306,15 @@
     Send(now, connection, request, mark);
     return true;
   }
-  // No connection is free anywhere: open one where it is wanted most.
-  if (!order.empty()) Acquire(now, FindDatabase(order.front()), caller);
+  // No connection is free anywhere: open one where it is wanted most, unless
+  // one is about to open already.
+  const bool soon = std::any_of(
+      group->databases.begin(), group->databases.end(),
+      [this, now, &caller](const std::string& id) {
+        return databases_.at(id).pool.OpensSoon(now, caller.workspace);
+      });
+  if (!order.empty() && !soon)
+    Acquire(now, FindDatabase(order.front()), caller);
   return false;
 }
 
--- a/src/libcore/session/proxy_pool.cc
+++ b/src/libcore/session/proxy_pool.cc
@@ -36,6 +36,10 @@
 /// of other instances and for the reason above. Not sooner: opening costs the
 /// database a slot for a while.
 constexpr milliseconds kIdleTime{500};
+/// The same for one that belongs to a workspace, which comes back to it less
+/// often than all callers together. One that another workspace needs goes
+/// sooner.
+constexpr milliseconds kWorkspaceIdleTime{3000};
 /// A statement unanswered for this long will not be answered: the connection
 /// has gone silent. Exceeds every route's statement timeout seen so far.
 constexpr milliseconds kSilentTime{3000};
@@ -259,7 +263,7 @@
   connection.open_until = now + kOpenTime;
   const ConnectionId id = connection.id;
   connections_.emplace(id, std::move(connection));
-  database->pool.Opening(id, workspace);
+  database->pool.Opening(now, id, workspace);
   ++database->unanswered;
   Sent(now, database);
   ++counters_.connections_opened;
@@ -414,7 +418,9 @@
   const size_t wanted = EnsureGroup(database->info.group)->kept ? 1 : 0;
   if (database->pool.idle().size() <= wanted) return;
   const DatabasePool::Idle& oldest = database->pool.idle().front();
-  if (now - oldest.since < kIdleTime) return;
+  const milliseconds idle_time =
+      oldest.workspace.empty() ? kIdleTime : kWorkspaceIdleTime;
+  if (now - oldest.since < idle_time) return;
   CloseConnection(now, FindConnection(oldest.connection));
 }
 
--- a/testsuite/session_directory/random_test.cc
+++ b/testsuite/session_directory/random_test.cc
@@ -79,8 +79,8 @@
     clock_.After(milliseconds(20), [this, id] { Open(id); });
   }
 
-  void OpenConnection(ConnectionId connection,
-                      const Database& database) override {
+  void OpenConnection(ConnectionId connection, const Database& database,
+                      const std::string& /*workspace*/) override {
     connections_[connection] = {database.id, false};
     clock_.After(milliseconds(12), [this, connection] {
       if (connections_.count(connection) == 0) return;
--- a/testsuite/session_pool/database_pool_test.cc
+++ b/testsuite/session_pool/database_pool_test.cc
@@ -17,8 +17,8 @@
 
 TEST(DatabasePool, CountsWhatIsOpeningAndHeld) {
   DatabasePool pool;
-  pool.Opening(1, "v");
-  pool.Opening(2, "w");
+  pool.Opening(kStart, 1, "v");
+  pool.Opening(kStart, 2, "w");
   EXPECT_EQ(pool.size(), 2U);
   EXPECT_EQ(pool.opening(), 2U);
   EXPECT_EQ(pool.opening("v"), 1U);
@@ -38,7 +38,7 @@
 TEST(DatabasePool, EvictsTheLeastRecentlyUsedOfAnother) {
   DatabasePool pool;
   for (const ConnectionId id : {1, 2, 3}) {
-    pool.Opening(id, id == 2 ? "w" : "v");
+    pool.Opening(kStart, id, id == 2 ? "w" : "v");
     pool.Opened(id);
     pool.Take(id);
   }
@@ -54,7 +54,7 @@
 // ever served.
 TEST(DatabasePool, KeepsANewConnectionForWhomItWasOpened) {
   DatabasePool pool;
-  pool.Opening(1, "v");
+  pool.Opening(kStart, 1, "v");
   pool.Opened(1);
   pool.Return(kStart, 1);
   EXPECT_EQ(pool.EvictableFor(kStart, "w"), std::nullopt);
@@ -77,7 +77,7 @@
             : std::next(model.begin(), static_cast<int>(step % model.size()));
     if (step % 4 == 0 || it == model.end()) {
       const std::string workspace = "w" + std::to_string(step % 3);
-      pool.Opening(++last, workspace);
+      pool.Opening(kStart, ++last, workspace);
       model[last] = {workspace, 0};
     } else if (step % 4 == 1) {
       pool.Remove(it->first);
--- a/testsuite/session_workspaces/workspaces_test.cc
+++ b/testsuite/session_workspaces/workspaces_test.cc
@@ -128,6 +128,32 @@
   }
 }
 
+// A read that waits for its workspace's first connection has one opened at each
+// database, each of which takes a slot there.
+TEST_F(WorkspacesTest, AWaitingReadOpensOneConnection) {
+  fleet_.connection_limit = 140;
+  fleet_.routes = Table(2, {});
+  for (uint64_t i = 0; i < 6; ++i) {
+    Workspace workspace;
+    workspace.name = "x" + std::to_string(i);
+    workspace.keys = {{100 + i, 0}};
+    fleet_.routes->workspaces.workspaces[workspace.name] = workspace;
+  }
+  Make(1);
+  StartWith(0, 50, kNobodysKey, "open");
+  EXPECT_EQ(Write(0, 50), ErrorCode::kNone);
+  replies_.clear();
+  const uint32_t before = hosts_[0]->opened();
+  for (CallerId caller = 1; caller <= 6; ++caller) {
+    StartWith(0, caller, {99 + caller, 0}, "bounded");
+    Send(0, caller, StatementKind::kRead, "READ k");
+    Run(3);
+  }
+  Run(200);
+  EXPECT_EQ(replies_.size(), 6U);
+  EXPECT_EQ(hosts_[0]->opened() - before, 6U);
+}
+
 // A key is taken away while its session is idle: the next statement must not
 // run, and the session ends.
 TEST_F(WorkspacesTest, ADroppedKeyEndsAnIdleSession) {
