Nothing waits for an owner of limits that did not answer

Change: a silent owner is suspected until a probe is answered. A refusal since nobody could be asked is logged as limit_unknown, apart from over_limit.

--- a/src/include/ryefold/core/limits/granted_limiter.h
+++ b/src/include/ryefold/core/limits/granted_limiter.h
@@ -99,6 +99,10 @@
             Decisions* decisions);
   void RefuseWaiting(TimePoint now, Line* line, Decisions* decisions);
   LimitAnswer Refusal(TimePoint now, Line* line);
+  bool IsSuspected(TimePoint now, const Granter& owner,
+                   const AllowanceRequest& request);
+  void Suspect(TimePoint now, const Line& line);
+  void Unsuspect(const Granter& owner);
   void TellOverLimit(TimePoint now, Line* line);
   AllowanceRequest RequestFor(const Line& line, uint32_t part) const;
   void Tell(TimePoint now, const Decisions& decisions);
@@ -115,8 +119,11 @@
   std::map<std::string, Line> lines_;
   /// Workspace of each open question.
   std::unordered_map<uint64_t, std::string> calls_;
-  /// Owners that did not answer, until when they are passed over.
-  std::map<Granter, TimePoint> silent_until_;
+  /// Owners that did not answer and have not been heard since, and when each is
+  /// to be probed next. Nothing waits for them.
+  std::map<Granter, TimePoint> suspected_;
+  /// Owner of each open probe.
+  std::unordered_map<uint64_t, Granter> probes_;
 };
 
 }  // namespace ryefold::core::limits
--- a/src/include/ryefold/core/limits/operation_limiter.h
+++ b/src/include/ryefold/core/limits/operation_limiter.h
@@ -24,6 +24,8 @@
   Verdict verdict = Verdict::kAllowed;
   /// kRefused: when to come back.
   std::chrono::milliseconds retry_after{0};
+  /// kRefused: nobody could say whether the workspace is below its limit.
+  bool unknown = false;
 };
 
 /// Told what became of operations that were pending.
@@ -32,7 +34,7 @@
   virtual ~LimitListener() = default;
   virtual void OperationAllowed(TimePoint now, OperationId operation) = 0;
   virtual void OperationRefused(TimePoint now, OperationId operation,
-                                std::chrono::milliseconds retry_after) = 0;
+                                const LimitAnswer& answer) = 0;
 };
 
 /// Admits operations. Never calls its listener from within `Ask`.
--- a/src/include/ryefold/core/session/proxy.h
+++ b/src/include/ryefold/core/session/proxy.h
@@ -124,7 +124,7 @@
   /// What the limiter decided on operations that were pending.
   void OperationAllowed(TimePoint now, limits::OperationId operation);
   void OperationRefused(TimePoint now, limits::OperationId operation,
-                        std::chrono::milliseconds retry_after);
+                        const limits::LimitAnswer& answer);
   /// All instances that there are, this one included.
   void SetInstances(TimePoint now, const std::string& self,
                     const std::vector<KeeperCandidate>& instances);
--- a/src/libcore/limits/granted_limiter.cc
+++ b/src/libcore/limits/granted_limiter.cc
@@ -17,8 +17,8 @@
 /// An answer that comes later than this is for another moment; what it grants
 /// is not used. Counted on a clock that goes on while the process is suspended.
 constexpr milliseconds kGrantLife{150};
-/// How long an owner that did not answer is passed over.
-constexpr milliseconds kSilence{1000};
+/// Pace of probes to an owner that did not answer.
+constexpr milliseconds kProbePace{500};
 /// Bounds of the time in which a workspace that is over its limit is refused
 /// without another question.
 constexpr milliseconds kLeastDry{10};
@@ -89,10 +89,10 @@
   Line* line = LineOf(workspace);
   if (now < line->refuse_until) return Refusal(now, line);
   line->waiting.push_back(operation);
-  if (line->call != 0) return {Verdict::kPending, milliseconds(0)};
+  if (line->call != 0) return {Verdict::kPending};
   Decisions decisions;
   Proceed(now, line, &decisions);
-  if (decisions.empty()) return {Verdict::kPending, milliseconds(0)};
+  if (decisions.empty()) return {Verdict::kPending};
   return decisions.front().answer;
 }
 
@@ -130,8 +130,7 @@
       Take(books_->Grant(now, request), request.wanted, line, decisions);
       continue;
     }
-    const auto silent = silent_until_.find(owner);
-    if (silent != silent_until_.end() && now < silent->second) continue;
+    if (IsSuspected(now, owner, request)) continue;
     line->call = ++last_call_;
     line->wanted = request.wanted;
     line->asked_at = now;
@@ -144,6 +143,38 @@
   line->tried = 0;
 }
 
+/// An operation costs its caller the time for an answer once, when the owner
+/// falls silent; from then on only probes find out that it is back.
+bool GrantedLimiter::IsSuspected(TimePoint now, const Granter& owner,
+                                 const AllowanceRequest& request) {
+  const auto found = suspected_.find(owner);
+  if (found == suspected_.end()) return false;
+  if (now < found->second) return true;
+  found->second = now + kProbePace;
+  AllowanceRequest probe = request;
+  probe.wanted = 0;
+  probes_[++last_call_] = owner;
+  port_->AskOwner(last_call_, owner, probe, now + kAnswerTime);
+  return true;
+}
+
+void GrantedLimiter::Suspect(TimePoint now, const Line& line) {
+  const bool news = suspected_.count(line.asked) == 0;
+  suspected_[line.asked] = now + kProbePace;
+  if (!news) return;
+  Event(events_, EventWeight::kState, "limit_owner_suspected")
+      .Add("owner", line.asked.instance)
+      .Add("workspace", line.workspace->name)
+      .Add("waiting", line.waiting.size())
+      .Add("after", now - line.asked_at);
+}
+
+void GrantedLimiter::Unsuspect(const Granter& owner) {
+  if (suspected_.erase(owner) == 0) return;
+  Event(events_, EventWeight::kState, "limit_owner_heard")
+      .Add("owner", owner.instance);
+}
+
 void GrantedLimiter::Take(const AllowanceAnswer& answer, uint32_t wanted,
                           Line* line, Decisions* decisions) {
   if (answer.not_owner) return;
@@ -177,7 +208,8 @@
 LimitAnswer GrantedLimiter::Refusal(TimePoint now, Line* line) {
   ++(line->dry > 0 ? line->usage.over_limit : line->usage.unanswered);
   const double rate = std::max(line->workspace->limit->rate, 1.0);
-  return {Verdict::kRefused, plan_.Next(now, rate, 0, &line->promised)};
+  return {Verdict::kRefused, plan_.Next(now, rate, 0, &line->promised),
+          /*unknown=*/line->dry == 0};
 }
 
 void GrantedLimiter::TellOverLimit(TimePoint now, Line* line) {
@@ -196,6 +228,11 @@
 
 void GrantedLimiter::Answered(TimePoint now, uint64_t call,
                               const std::optional<AllowanceAnswer>& answer) {
+  const auto probe = probes_.extract(call);
+  if (!probe.empty()) {
+    if (answer.has_value()) Unsuspect(probe.mapped());
+    return;
+  }
   const auto found = calls_.find(call);
   if (found == calls_.end()) return;
   const auto entry = lines_.find(found->second);
@@ -208,12 +245,7 @@
   if (answer.has_value() && in_time) {
     Take(*answer, line->wanted, line, &decisions);
   } else if (!answer.has_value()) {
-    silent_until_[line->asked] = now + kSilence;
-    Event(events_, EventWeight::kState, "limit_owner_silent")
-        .Add("owner", line->asked.instance)
-        .Add("workspace", entry->first)
-        .Add("waiting", line->waiting.size())
-        .Add("after", now - line->asked_at);
+    Suspect(now, *line);
   }
   if (!in_time) line->tried = 0;
   Proceed(now, line, &decisions);
@@ -225,7 +257,7 @@
     if (each.answer.verdict == Verdict::kAllowed) {
       listener_->OperationAllowed(now, each.operation);
     } else {
-      listener_->OperationRefused(now, each.operation, each.answer.retry_after);
+      listener_->OperationRefused(now, each.operation, each.answer);
     }
   }
 }
--- a/src/libcore/session/proxy.cc
+++ b/src/libcore/session/proxy.cc
@@ -181,8 +181,8 @@
   impl_->OperationAllowed(now, operation);
 }
 void Proxy::OperationRefused(TimePoint now, limits::OperationId operation,
-                             std::chrono::milliseconds retry_after) {
-  impl_->OperationRefused(now, operation, retry_after);
+                             const limits::LimitAnswer& answer) {
+  impl_->OperationRefused(now, operation, answer);
 }
 void Proxy::SetInstances(TimePoint now, const std::string& self,
                          const std::vector<KeeperCandidate>& instances) {
--- a/src/libcore/session/proxy_identity.cc
+++ b/src/libcore/session/proxy_identity.cc
@@ -113,11 +113,16 @@
   } else if (answer.verdict == limits::Verdict::kAllowed) {
     Dispatch(now, request);
   } else {
-    Refuse(now, request, ErrorCode::kOverLimit, answer.retry_after,
-           "over_limit");
+    RefuseForLimit(now, request, answer);
   }
 }
 
+void Proxy::Impl::RefuseForLimit(TimePoint now, Request* request,
+                                 const limits::LimitAnswer& answer) {
+  Refuse(now, request, ErrorCode::kOverLimit, answer.retry_after,
+         answer.unknown ? "limit_unknown" : "over_limit");
+}
+
 void Proxy::Impl::OperationAllowed(TimePoint now, RequestId id) {
   Request* request = FindRequest(id);
   if (request == nullptr) return;
@@ -126,11 +131,11 @@
 }
 
 void Proxy::Impl::OperationRefused(TimePoint now, RequestId id,
-                                   std::chrono::milliseconds retry_after) {
+                                   const limits::LimitAnswer& answer) {
   Request* request = FindRequest(id);
   if (request == nullptr) return;
   request->awaits_limit = false;
-  Refuse(now, request, ErrorCode::kOverLimit, retry_after, "over_limit");
+  RefuseForLimit(now, request, answer);
 }
 
 /// Whether another instance's caller may be served here: the newer of the two
--- a/src/ryefoldd/limits_host.cc
+++ b/src/ryefoldd/limits_host.cc
@@ -136,8 +136,8 @@
 
 void LimitsHost::OperationRefused(core::TimePoint now,
                                   core::limits::OperationId operation,
-                                  milliseconds retry_after) {
-  surroundings_.proxy->OperationRefused(now, operation, retry_after);
+                                  const core::limits::LimitAnswer& answer) {
+  surroundings_.proxy->OperationRefused(now, operation, answer);
 }
 
 }  // namespace ryefold::ryefoldd
--- a/src/ryefoldd/limits_host.h
+++ b/src/ryefoldd/limits_host.h
@@ -60,7 +60,7 @@
                         core::limits::OperationId operation) override;
   void OperationRefused(core::TimePoint now,
                         core::limits::OperationId operation,
-                        std::chrono::milliseconds retry_after) override;
+                        const core::limits::LimitAnswer& answer) override;
 
  private:
   void OnQuestion(const wire::PeerCall& call);
--- a/testsuite/support/limits/limit_fleet.h
+++ b/testsuite/support/limits/limit_fleet.h
@@ -87,7 +87,7 @@
                 const AllowanceRequest& request, TimePoint deadline) override;
   void OperationAllowed(TimePoint now, OperationId operation) override;
   void OperationRefused(TimePoint now, OperationId operation,
-                        milliseconds retry_after) override;
+                        const LimitAnswer& answer) override;
 
  private:
   void Tick();
@@ -388,7 +388,7 @@
 
 inline void LimitNode::OperationRefused(TimePoint /*now*/,
                                         OperationId operation,
-                                        milliseconds /*retry_after*/) {
+                                        const LimitAnswer& /*answer*/) {
   fleet_->Refused(operation);
 }
 
