Workspaces for operators: status, metrics, ryefoldctl workspaces

What each workspace was allowed and refused, its connections and the fingerprints of its keys stand in /status and, for up to 200 workspaces, as series on the metrics address; ryefoldctl workspaces sums them over the gateways named, worst first. Tests: keys and limits decoded, no key in a log line, START names the workspace.

--- a/src/include/ryefold/core/session/proxy.h
+++ b/src/include/ryefold/core/session/proxy.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -163,6 +164,8 @@
   uint64_t route_version() const;
   /// The workspaces in force.
   const workspace::Workspaces& workspaces() const;
+  /// Connections to databases held for each workspace, openings included.
+  std::map<std::string, uint32_t> connections_by_workspace() const;
   std::vector<GroupView> groups(TimePoint now) const;
   const ProxyCounters& counters() const;
   size_t callers() const;
--- a/src/libcore/session/proxy.cc
+++ b/src/libcore/session/proxy.cc
@@ -221,6 +221,9 @@
 const workspace::Workspaces& Proxy::workspaces() const {
   return impl_->workspaces();
 }
+std::map<std::string, uint32_t> Proxy::connections_by_workspace() const {
+  return impl_->ConnectionsByWorkspace();
+}
 uint64_t Proxy::route_version() const { return impl_->route_version(); }
 std::vector<GroupView> Proxy::groups(TimePoint now) const {
   return impl_->Views(now);
--- a/src/libcore/session/proxy_identity.cc
+++ b/src/libcore/session/proxy_identity.cc
@@ -138,6 +138,14 @@
   RefuseForLimit(now, request, answer);
 }
 
+std::map<std::string, uint32_t> Proxy::Impl::ConnectionsByWorkspace() const {
+  std::map<std::string, uint32_t> held;
+  for (const auto& [id, connection] : connections_) {
+    ++held[connection.workspace];
+  }
+  return held;
+}
+
 /// Whether another instance's caller may be served here: the newer of the two
 /// configurations decides.
 bool Proxy::Impl::AdmitAdopted(const ForwardedStatement& forwarded) const {
--- a/src/libcore/session/proxy_impl.h
+++ b/src/libcore/session/proxy_impl.h
@@ -39,6 +39,7 @@
   void OperationRefused(TimePoint now, RequestId id,
                         const limits::LimitAnswer& answer);
   const workspace::Workspaces& workspaces() const { return workspaces_; }
+  std::map<std::string, uint32_t> ConnectionsByWorkspace() const;
 
   // proxy_instances.cc: the other instances.
   void SetForwarder(Forwarder* forwarder) { forwarder_ = forwarder; }
--- a/src/libcore/session/proxy_instances.cc
+++ b/src/libcore/session/proxy_instances.cc
@@ -143,8 +143,8 @@
                                            const Group& group) const {
   std::vector<KeeperCandidate> neighbours;
   for (const KeeperCandidate& each : group.keepers) {
-    if (each.failure_domain == keeper.failure_domain)
-      neighbours.push_back(each);
+    const bool near = each.failure_domain == keeper.failure_domain;
+    if (near) neighbours.push_back(each);
   }
   return static_cast<uint32_t>(
       RankAmong(workspace, keeper.instance, neighbours));
--- a/src/libcore/session/proxy_placing.cc
+++ b/src/libcore/session/proxy_placing.cc
@@ -313,8 +313,8 @@
       [this, now, &caller](const std::string& id) {
         return databases_.at(id).pool.OpensSoon(now, caller.workspace);
       });
-  if (!order.empty() && !soon)
-    Acquire(now, FindDatabase(order.front()), caller);
+  if (order.empty() || soon) return false;
+  Acquire(now, FindDatabase(order.front()), caller);
   return false;
 }
 
--- a/src/ryefoldctl/commands.h
+++ b/src/ryefoldctl/commands.h
@@ -44,6 +44,8 @@
 /// What gateways on the users' platform know, by their ready or metrics
 /// addresses.
 int Gateways(const Invocation& invocation, Client* client);
+/// What gateways together know of each workspace: usage against its limit.
+int Workspaces(const Invocation& invocation, Client* client);
 /// Reads collected logs; needs no server.
 int Explain(const Invocation& invocation, Client* client);
 
--- a/src/ryefoldctl/main.cc
+++ b/src/ryefoldctl/main.cc
@@ -61,6 +61,13 @@
         "Shows what collected logs say about a request, and what was believed "
         "about the databases that it met.",
         false}},
+      {"workspaces",
+       {Workspaces, "",
+        "Shows, summed over the gateways named with --server, what each "
+        "workspace was\n      allowed and refused by its limit, its "
+        "connections "
+        "and keys; worst first.",
+        true}},
       {"drain",
        {Drain, "INSTANCE",
         "Lets an instance finish what it has in progress and end.", true}},
--- a/src/ryefoldd/gateway_metrics.cc
+++ b/src/ryefoldd/gateway_metrics.cc
@@ -8,6 +8,7 @@
 #include <prometheus/text_serializer.h>
 
 #include <map>
+#include <set>
 #include <utility>
 
 namespace ryefold::ryefoldd {
@@ -19,6 +20,10 @@
 using prometheus::Gauge;
 using prometheus::Histogram;
 
+/// Workspaces that may have series of their own. Those that have them keep
+/// them.
+constexpr size_t kMostWorkspaces = 200;
+
 const Histogram::BucketBoundaries& LatencyBuckets() {
   static const auto* const buckets = new Histogram::BucketBoundaries{
       0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2};
@@ -45,7 +50,12 @@
         databases(prometheus::BuildGauge()
                       .Name("ryefold_database")
                       .Help("State of a database as this instance sees it")
-                      .Register(registry)) {}
+                      .Register(registry)),
+        workspaces(prometheus::BuildGauge()
+                       .Name("ryefold_workspace")
+                       .Help("Operations of a workspace at this instance, and "
+                             "its connections")
+                       .Register(registry)) {}
 
   Histogram& LatencyOf(const core::session::Route& route) {
     Histogram*& known = latencies[{route.name, route.priority}];
@@ -77,11 +87,26 @@
         .Set(static_cast<double>(value));
   }
 
+  void WorkspaceFigure(const std::string& workspace, const std::string& name,
+                       uint64_t value) {
+    workspaces.Add({{"workspace", workspace}, {"figure", name}})
+        .Set(static_cast<double>(value));
+  }
+
+  bool HasSeries(const std::string& workspace) {
+    if (known_workspaces.count(workspace) > 0) return true;
+    if (known_workspaces.size() >= kMostWorkspaces) return false;
+    known_workspaces.insert(workspace);
+    return true;
+  }
+
   prometheus::Registry registry;
   Family<Histogram>& latency;
   Family<Counter>& outcomes;
   Family<Gauge>& figures;
   Family<Gauge>& databases;
+  Family<Gauge>& workspaces;
+  std::set<std::string> known_workspaces;
   std::map<std::pair<std::string, uint32_t>, Histogram*> latencies;
   std::map<std::pair<std::string, ErrorCode>, Counter*> counters;
 };
@@ -110,6 +135,7 @@
   impl_->Figure("replica_reads", counters.replica_reads);
   impl_->Figure("primary_reads", counters.primary_reads);
   impl_->Figure("connections_opened", counters.connections_opened);
+  impl_->Figure("connections_evicted", counters.connections_evicted);
   impl_->Figure("log_lines_left_out", lines_left_out);
   impl_->Figure("store_calls", store_calls);
   impl_->Figure("copy_age_ms", static_cast<uint64_t>(copy_age.count()));
@@ -124,6 +150,18 @@
   }
 }
 
+void GatewayMetrics::UpdateWorkspaces(
+    const std::vector<WorkspaceStatus>& workspaces) {
+  for (const WorkspaceStatus& each : workspaces) {
+    if (!impl_->HasSeries(each.workspace)) continue;
+    impl_->WorkspaceFigure(each.workspace, "allowed", each.usage.allowed);
+    impl_->WorkspaceFigure(each.workspace, "over_limit", each.usage.over_limit);
+    impl_->WorkspaceFigure(each.workspace, "limit_unknown",
+                           each.usage.unanswered);
+    impl_->WorkspaceFigure(each.workspace, "connections", each.connections);
+  }
+}
+
 std::string GatewayMetrics::Text() const {
   return prometheus::TextSerializer().Serialize(impl_->registry.Collect());
 }
--- a/src/ryefoldd/gateway_metrics.h
+++ b/src/ryefoldd/gateway_metrics.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "ryefold/core/session/proxy.h"
+#include "ryefoldd/workspace_status.h"
 
 namespace ryefold::ryefoldd {
 
@@ -27,6 +28,9 @@
               const core::session::ProxyCounters& counters, size_t callers,
               uint64_t route_version, uint64_t lines_left_out,
               uint64_t store_calls, std::chrono::milliseconds copy_age);
+  /// Takes the workspaces, the most refused first. Only so many have series of
+  /// their own.
+  void UpdateWorkspaces(const std::vector<WorkspaceStatus>& workspaces);
   /// The page in Prometheus' text form.
   std::string Text() const;
 
--- a/src/ryefoldd/gateway_status.cc
+++ b/src/ryefoldd/gateway_status.cc
@@ -52,6 +52,23 @@
   return value;
 }
 
+Json::Value ToValue(const WorkspaceStatus& workspace) {
+  Json::Value value;
+  value["workspace"] = workspace.workspace;
+  value["priority"] = workspace.priority;
+  value["limited"] = workspace.limited;
+  value["rate"] = workspace.rate;
+  value["burst"] = workspace.burst;
+  value["allowed"] = static_cast<Json::UInt64>(workspace.usage.allowed);
+  value["over_limit"] = static_cast<Json::UInt64>(workspace.usage.over_limit);
+  value["limit_unknown"] =
+      static_cast<Json::UInt64>(workspace.usage.unanswered);
+  value["connections"] = workspace.connections;
+  value["keys"] = Json::arrayValue;
+  for (const std::string& key : workspace.keys) value["keys"].append(key);
+  return value;
+}
+
 }  // namespace
 
 std::string ToJson(core::TimePoint now, const GatewayStatus& status) {
@@ -74,6 +91,10 @@
   for (const GroupView& group : status.groups) {
     value["groups"].append(ToValue(now, group));
   }
+  value["workspaces"] = Json::arrayValue;
+  for (const WorkspaceStatus& workspace : status.workspaces) {
+    value["workspaces"].append(ToValue(workspace));
+  }
   Json::StreamWriterBuilder builder;
   builder["indentation"] = "";
   return Json::writeString(builder, value);
--- a/src/ryefoldd/gateway_status.h
+++ b/src/ryefoldd/gateway_status.h
@@ -9,6 +9,7 @@
 
 #include "ryefold/core/session/proxy.h"
 #include "ryefold/core/types.h"
+#include "ryefoldd/workspace_status.h"
 
 namespace ryefold::ryefoldd {
 
@@ -31,6 +32,7 @@
   /// All instances by name.
   std::vector<std::string> instances;
   std::vector<core::session::GroupView> groups;
+  std::vector<WorkspaceStatus> workspaces;
 };
 
 std::string ToJson(core::TimePoint now, const GatewayStatus& status);
--- a/src/ryefoldd/gateway_task.cc
+++ b/src/ryefoldd/gateway_task.cc
@@ -323,6 +323,7 @@
       metrics_.Update(proxy_->groups(BootTime()), proxy_->counters(),
                       proxy_->callers(), proxy_->route_version(),
                       events_->left_out(), store_->calls(), CopyAge());
+      metrics_.UpdateWorkspaces(Workspaces());
       reply.body = metrics_.Text();
       reply.content_type = "text/plain; version=0.0.4";
     } else if (exchange.path() == "/status") {
@@ -340,6 +341,12 @@
                                                     mirror_->confirmed_at());
   }
 
+  std::vector<WorkspaceStatus> Workspaces() const {
+    std::map<std::string, core::limits::LimitUsage> usage;
+    if (limits_ != nullptr) usage = limits_->usage();
+    return WorkspaceStatuses(*proxy_, usage);
+  }
+
   GatewayStatus Status() const {
     GatewayStatus status;
     status.instance = settings_.name;
@@ -354,6 +361,7 @@
     status.duty_holder = failover_->duty_holder();
     status.instances = instances_;
     status.groups = proxy_->groups(BootTime());
+    status.workspaces = Workspaces();
     return status;
   }
 
--- a/src/ryefoldd/limits_host.cc
+++ b/src/ryefoldd/limits_host.cc
@@ -27,7 +27,7 @@
 
 }  // namespace
 
-LimitsHost::LimitsHost(Granter self, Surroundings surroundings)
+LimitsHost::LimitsHost(const Granter& self, Surroundings surroundings)
     : surroundings_(std::move(surroundings)),
       shards_(surroundings_.store),
       books_(BootTime(), self),
--- a/src/ryefoldd/limits_host.h
+++ b/src/ryefoldd/limits_host.h
@@ -36,7 +36,7 @@
     std::function<void()> turn;
   };
 
-  LimitsHost(core::limits::Granter self, Surroundings surroundings);
+  LimitsHost(const core::limits::Granter& self, Surroundings surroundings);
   ~LimitsHost() override;
   LimitsHost(const LimitsHost&) = delete;
   LimitsHost& operator=(const LimitsHost&) = delete;
--- a/testsuite/limits_parts/parts_test.cc
+++ b/testsuite/limits_parts/parts_test.cc
@@ -17,10 +17,10 @@
 
 using std::chrono::milliseconds;
 
-const TimePoint kStart(std::chrono::hours(1));
-const Granter kSelf{"i1", "10.0.0.1:1", "a"};
-const Granter kOther{"i2", "10.0.0.2:1", "b"};
-const Granter kThird{"i3", "10.0.0.3:1", ""};
+constexpr TimePoint kStart(std::chrono::hours(1));
+Granter Self() { return {"i1", "10.0.0.1:1", "a"}; }
+Granter Other() { return {"i2", "10.0.0.2:1", "b"}; }
+Granter Third() { return {"i3", "10.0.0.3:1", ""}; }
 
 ShardTable TableOf(const Granter& owner, uint64_t assigned, bool settled) {
   ShardTable table;
@@ -73,8 +73,8 @@
 }
 
 TEST(AllowanceBooks, GrantWhatTheirShardsAllow) {
-  AllowanceBooks books(kStart, kSelf);
-  books.SetTable(kStart, TableOf(kSelf, 1, true));
+  AllowanceBooks books(kStart, Self());
+  books.SetTable(kStart, TableOf(Self(), 1, true));
   books.TableConfirmed(kStart);
   EXPECT_EQ(books.Grant(kStart, RequestFor(1)).granted, 0U);
   const TimePoint later = kStart + milliseconds(1000);
@@ -86,8 +86,8 @@
 // An owner that does not hear of the store any more grants what another one
 // grants as well by then.
 TEST(AllowanceBooks, StopWhenTheCopyOfTheTableIsOld) {
-  AllowanceBooks books(kStart, kSelf);
-  books.SetTable(kStart, TableOf(kSelf, 1, true));
+  AllowanceBooks books(kStart, Self());
+  books.SetTable(kStart, TableOf(Self(), 1, true));
   books.TableConfirmed(kStart);
   EXPECT_TRUE(books.Owns(kStart + kOwnershipTerm / 2, "w", 0));
   EXPECT_FALSE(books.Owns(kStart + kOwnershipTerm, "w", 0));
@@ -96,9 +96,9 @@
 
 // A new owner grants while the former one may still do so.
 TEST(AllowanceBooks, WaitUntilTheFormerOwnerHasStopped) {
-  AllowanceBooks books(kStart, kSelf);
-  books.SetTable(kStart, TableOf(kOther, 1, true));
-  books.SetTable(kStart + milliseconds(5), TableOf(kSelf, 2, false));
+  AllowanceBooks books(kStart, Self());
+  books.SetTable(kStart, TableOf(Other(), 1, true));
+  books.SetTable(kStart + milliseconds(5), TableOf(Self(), 2, false));
   const TimePoint due = kStart + milliseconds(5) + kOwnershipTerm;
   books.TableConfirmed(due);
   EXPECT_FALSE(books.Owns(due - milliseconds(1), "w", 0));
@@ -109,18 +109,18 @@
 // A shard went to another instance and came back, and this one has seen only
 // the last of the three tables.
 TEST(AllowanceBooks, WaitForAShardThatWasAnothersMeanwhile) {
-  AllowanceBooks books(kStart, kSelf);
-  books.SetTable(kStart, TableOf(kSelf, 1, true));
+  AllowanceBooks books(kStart, Self());
+  books.SetTable(kStart, TableOf(Self(), 1, true));
   books.TableConfirmed(kStart + milliseconds(10));
   EXPECT_TRUE(books.Owns(kStart + milliseconds(5), "w", 0));
-  books.SetTable(kStart + milliseconds(10), TableOf(kSelf, 3, false));
+  books.SetTable(kStart + milliseconds(10), TableOf(Self(), 3, false));
   EXPECT_FALSE(books.Owns(kStart + milliseconds(20), "w", 0));
 }
 
 // A limit is lowered; an instance that has not heard of it asks by the old one.
 TEST(AllowanceBooks, GoByTheNewestLimitAskedFor) {
-  AllowanceBooks books(kStart, kSelf);
-  books.SetTable(kStart, TableOf(kSelf, 1, true));
+  AllowanceBooks books(kStart, Self());
+  books.SetTable(kStart, TableOf(Self(), 1, true));
   books.TableConfirmed(kStart);
   AllowanceRequest lower = RequestFor(0, 4, 4);
   lower.config_version = 2;
@@ -133,9 +133,9 @@
   ShardAssigner assigner;
   EXPECT_FALSE(assigner.Due(kStart).has_value());
   assigner.SetTable(kStart, std::nullopt);
-  assigner.SetInstances(kStart, {kSelf});
+  assigner.SetInstances(kStart, {Self()});
   EXPECT_FALSE(assigner.Due(kStart + milliseconds(1900)).has_value());
-  assigner.SetInstances(kStart + milliseconds(1900), {kSelf, kOther});
+  assigner.SetInstances(kStart + milliseconds(1900), {Self(), Other()});
   EXPECT_FALSE(assigner.Due(kStart + milliseconds(3000)).has_value());
   const auto table = assigner.Due(kStart + milliseconds(4000));
   ASSERT_TRUE(table.has_value());
@@ -147,25 +147,25 @@
 // long as new owners wait.
 TEST(ShardAssigner, LeavesARestartedInstanceItsShards) {
   ShardAssigner assigner;
-  const ShardTable table = FirstTable({kSelf, kOther});
+  const ShardTable table = FirstTable({Self(), Other()});
   assigner.SetTable(kStart, table);
-  assigner.SetInstances(kStart, {kSelf, kOther});
-  assigner.SetInstances(kStart + milliseconds(1), {kSelf});
+  assigner.SetInstances(kStart, {Self(), Other()});
+  assigner.SetInstances(kStart + milliseconds(1), {Self()});
   EXPECT_FALSE(assigner.Due(kStart + milliseconds(10000)).has_value());
-  assigner.SetInstances(kStart + milliseconds(10000), {kSelf, kOther});
+  assigner.SetInstances(kStart + milliseconds(10000), {Self(), Other()});
   EXPECT_FALSE(assigner.Due(kStart + milliseconds(60000)).has_value());
 }
 
 TEST(ShardAssigner, ReplacesTheLostAndSettlesLater) {
   ShardAssigner assigner;
-  assigner.SetTable(kStart, FirstTable({kSelf, kOther}));
-  assigner.SetInstances(kStart, {kSelf, kThird});
+  assigner.SetTable(kStart, FirstTable({Self(), Other()}));
+  assigner.SetInstances(kStart, {Self(), Third()});
   const TimePoint due = kStart + milliseconds(15000);
   const auto table = assigner.Due(due);
   ASSERT_TRUE(table.has_value());
   size_t unsettled = 0;
   for (const Shard& shard : table->shards) {
-    EXPECT_NE(shard.owner, kOther);
+    EXPECT_NE(shard.owner, Other());
     unsettled += shard.settled ? 0 : 1;
   }
   EXPECT_EQ(unsettled, kShards / 2);
@@ -177,7 +177,7 @@
 }
 
 TEST(ShardStore, TablesComeBackAsWritten) {
-  ShardTable table = FirstTable({kSelf, kOther, kThird});
+  ShardTable table = FirstTable({Self(), Other(), Third()});
   table.shards[7].settled = false;
   const auto read =
       platform::DecodeShardTable(platform::EncodeShardTable(table));
--- a/testsuite/platform_directory/directory_test.cc
+++ b/testsuite/platform_directory/directory_test.cc
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "platform/key_digest.h"
 #include "platform/records.h"
 
 namespace ryefold::platform {
@@ -128,6 +129,55 @@
   EXPECT_EQ(database.born.time_since_epoch().count(), 1764720000000);
 }
 
+constexpr const char* kConfigOfWorkspaces =
+    R"({"version":7,"routes":[{"name":"r","host":"open","service":"g",)"
+    R"("public":true},{"name":"s","host":"closed","service":"g"}],)"
+    R"("services":[{"name":"g"}],"tenants":[{"name":"acme","priority":1,)"
+    R"("api_keys":["secret-of-acme","other-secret"],"rate_per_s":163,)"
+    R"("burst":20},{"name":"free","api_keys":[]}]})";
+
+TEST(Records, CarryWorkspacesWithKeysAndLimits) {
+  wire::Findings findings;
+  const auto table = DecodeRouteTable(kConfigOfWorkspaces, &findings);
+  ASSERT_TRUE(findings.empty());
+  EXPECT_TRUE(table.routes.at("open").open_to_all);
+  EXPECT_FALSE(table.routes.at("closed").open_to_all);
+  EXPECT_TRUE(table.workspaces.keys_required);
+  const auto& acme = table.workspaces.workspaces.at("acme");
+  EXPECT_EQ(acme.priority, 1U);
+  ASSERT_TRUE(acme.limit.has_value());
+  EXPECT_EQ(acme.limit->rate, 163);
+  EXPECT_EQ(acme.limit->burst, 20);
+  ASSERT_EQ(acme.keys.size(), 2U);
+  EXPECT_EQ(acme.keys[0], DigestOfKey("secret-of-acme"));
+  EXPECT_FALSE(table.workspaces.workspaces.at("free").limit.has_value());
+}
+
+// Deployments that know no workspaces would refuse all their callers.
+TEST(Records, NeedNoKeysWithoutWorkspaces) {
+  wire::Findings findings;
+  const auto table =
+      DecodeRouteTable(R"({"version":7,"routes":[],"services":[]})", &findings);
+  EXPECT_FALSE(table.workspaces.keys_required);
+}
+
+// A key shows in a log line, where everybody who reads logs can take it.
+TEST(Records, LeaveNoKeyInTheLog) {
+  Listener listener;
+  Directory directory(&listener, &listener);
+  std::string broken = kConfigOfWorkspaces;
+  broken.replace(broken.find("163"), 3, "\"secret-of-acme\"");
+  for (const std::string& text : {std::string(kConfigOfWorkspaces), broken}) {
+    const core::mirror::EntryMap items = {
+        {"op/config", MakeEntry("op/config", text, text.size())}};
+    directory.OnItems(items, items);
+  }
+  EXPECT_FALSE(listener.lines.empty());
+  for (const std::string& line : listener.lines) {
+    EXPECT_EQ(line.find("secret"), std::string::npos) << line;
+  }
+}
+
 RC_GTEST_PROP(DirectoryProperty, NoEntryHarmsTheOthers,
               (const std::vector<std::pair<uint16_t, uint8_t>>& changes)) {
   // A sound entry with some bytes changed at random, beside an untouched one.
--- a/testsuite/platform_lines/lines_test.cc
+++ b/testsuite/platform_lines/lines_test.cc
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "platform/key_digest.h"
 #include "platform/line_codec.h"
 #include "platform/records.h"
 
@@ -50,6 +51,30 @@
 
 // A caller sends half a message, or words that nobody knows. It must be told
 // so; a guess could run something that it never asked for.
+TEST(CallerLines, CarryTheDigestOfAKey) {
+  const CallerLine line = DecodeCallerLine("START records some-key");
+  EXPECT_EQ(line.route, "records");
+  EXPECT_EQ(line.key, DigestOfKey("some-key"));
+  EXPECT_NE(line.key, DecodeCallerLine("START records other-key").key);
+}
+
+// A database is told the key, or the proxy's name in a workspace's place.
+TEST(BackendCalls, NameTheWorkspaceTheyAreMadeFor) {
+  core::session::Database database;
+  database.group = "g";
+  database.id = "i-1";
+  std::string out;
+  EncodeStart(database, "acme", &out);
+  EncodeStart(database, "", &out);
+  EXPECT_EQ(out, "START g acme i-1\r\nSTART g ryefold i-1\r\n");
+}
+
+TEST(CallerLines, AreToldOfUnknownKeysAndLimits) {
+  EXPECT_EQ(ErrorWord(core::session::ErrorCode::kUnknownKey), "NOAUTH");
+  EXPECT_EQ(ErrorWord(core::session::ErrorCode::kOverLimit), "BUSY");
+  EXPECT_EQ(DecodeErrorCode("BUSY"), core::session::ErrorCode::kBusy);
+}
+
 TEST(CallerLines, WhatIsNotUnderstoodIsSaidToBe) {
   for (const char* line :
        {"", " ", "QUERY", "QUERY id1x", "START", "HELLO u"}) {
--- a/testsuite/process_sessions/run.sh
+++ b/testsuite/process_sessions/run.sh
@@ -41,6 +41,8 @@
 [ "$(jq -r '.[1].groups[0].writes_held' <<<"$status")" = false ] || fail "writes are held: $status"
 "$BUILD/ryefoldctl" gateways --server "127.0.0.1:$(cat "$fleet/gateway-1.ready")" |
   grep -q '^gateway-1 .*ready' || fail "no table of gateways"
+"$BUILD/ryefoldctl" workspaces --server "127.0.0.1:$(cat "$fleet/gateway-1.ready")" |
+  grep -q '^WORKSPACE ' || fail "no table of workspaces"
 if "$BUILD/ryefoldctl" gateways --server 127.0.0.1:1 >/dev/null 2>&1; then
   fail "a gateway that is not there was shown"
 fi
--- a/testsuite/session_pool/database_pool_test.cc
+++ b/testsuite/session_pool/database_pool_test.cc
@@ -13,7 +13,7 @@
 
 using std::chrono::milliseconds;
 
-const TimePoint kStart(std::chrono::hours(1));
+constexpr TimePoint kStart(std::chrono::hours(1));
 
 TEST(DatabasePool, CountsWhatIsOpeningAndHeld) {
   DatabasePool pool;
--- a/testsuite/session_workspaces/workspaces_test.cc
+++ b/testsuite/session_workspaces/workspaces_test.cc
@@ -3,6 +3,9 @@
 
 #include <gtest/gtest.h>
 
+#include <utility>
+#include <vector>
+
 #include "testsuite/session_proxy/proxy_fixture.h"
 
 namespace ryefold::testsuite {
@@ -25,7 +28,8 @@
     table.routes["open"].name = "open";
     table.routes["open"].open_to_all = true;
     table.workspaces.keys_required = true;
-    table.workspaces.workspaces["v"] = {"v", 0, std::nullopt, keys_of_v};
+    table.workspaces.workspaces["v"] = {"v", 0, std::nullopt,
+                                        std::move(keys_of_v)};
     table.workspaces.workspaces["w"] = {"w", 0, std::nullopt, {kKeyOfW}};
     return table;
   }
--- a/testsuite/support/limits/limit_fleet.h
+++ b/testsuite/support/limits/limit_fleet.h
@@ -65,7 +65,8 @@
 class LimitNode : public core::limits::AllowancePort,
                   public core::limits::LimitListener {
  public:
-  LimitNode(LimitFleet* fleet, Granter self) : fleet_(fleet), self_(self) {}
+  LimitNode(LimitFleet* fleet, Granter self)
+      : fleet_(fleet), self_(std::move(self)) {}
 
   void Start();
   /// Ends the process; what it knew is gone.
@@ -80,7 +81,7 @@
   bool cut_from_store = false;
 
   /// Runs `work` once the process can, unless it ends before.
-  void Do(std::function<void()> work);
+  void Do(const std::function<void()>& work);
   void Ask(const std::string& workspace, OperationId operation);
 
   void AskOwner(uint64_t call, const Granter& owner,
@@ -286,7 +287,7 @@
   Tick();
 }
 
-inline void LimitNode::Do(std::function<void()> work) {
+inline void LimitNode::Do(const std::function<void()>& work) {
   if (!up_) return;
   if (frozen_until > fleet_->clock.now()) {
     fleet_->clock.At(frozen_until, [this, life = life_, work] {
