Room for the connections of processes that lost power, by workspace too

Cause: connections of workspaces stay open, so more of them are there to be lost at once, and a database counts them for three seconds more.

Change: keepers hold half of a database's connections for workspaces instead of 60%, and a process that started less than 3.5 s ago half of its part. Deployments without workspaces are as before.

--- a/src/include/ryefold/core/session/forwarding.h
+++ b/src/include/ryefold/core/session/forwarding.h
@@ -106,7 +106,8 @@
                    bool by_workspace = false);
 
 /// Connections that each of `keepers` may hold to one database.
-uint32_t ConnectionsOfKeeper(uint32_t connection_limit, size_t keepers);
+uint32_t ConnectionsOfKeeper(uint32_t connection_limit, size_t keepers,
+                             bool by_workspace = false);
 
 /// Statements that one of `holders` instances may have under way at a database
 /// that runs `slots` at once.
--- a/src/libcore/session/forwarding.cc
+++ b/src/libcore/session/forwarding.cc
@@ -21,6 +21,9 @@
 /// The rest is for those of instances that have lost power, which the database
 /// counts for seconds, and for keepers that come and go.
 constexpr size_t kUsedPercent = 60;
+/// The same where each connection serves one workspace: they stay open, so all
+/// of them are there to be lost at once.
+constexpr size_t kUsedPercentByWorkspace = 50;
 /// Statements under way at a database for each of its slots, from all holders
 /// together. One runs, the others wait inside it, out of reach of the order by
 /// priority; databases turn away what exceeds eight for each slot.
@@ -32,8 +35,9 @@
 /// The same where each connection serves one workspace.
 constexpr size_t kMostByWorkspace = 4;
 
-size_t Usable(uint32_t connection_limit) {
-  return connection_limit * kUsedPercent / 100;
+size_t Usable(uint32_t connection_limit, bool by_workspace) {
+  const size_t percent = by_workspace ? kUsedPercentByWorkspace : kUsedPercent;
+  return connection_limit * percent / 100;
 }
 
 uint64_t Rank(std::string_view group, const std::string& instance) {
@@ -47,13 +51,15 @@
                    bool by_workspace) {
   const bool enough = instances * kOwnConnections <= connection_limit;
   if (enough && instances <= kMostOwn) return 0;
-  return std::clamp(Usable(connection_limit) / kKeeperConnections,
+  return std::clamp(Usable(connection_limit, by_workspace) / kKeeperConnections,
                     kLeastKeepers,
                     by_workspace ? kMostByWorkspace : kMostKeepers);
 }
 
-uint32_t ConnectionsOfKeeper(uint32_t connection_limit, size_t keepers) {
-  const size_t share = Usable(connection_limit) / std::max<size_t>(keepers, 1);
+uint32_t ConnectionsOfKeeper(uint32_t connection_limit, size_t keepers,
+                             bool by_workspace) {
+  const size_t share =
+      Usable(connection_limit, by_workspace) / std::max<size_t>(keepers, 1);
   return static_cast<uint32_t>(std::max(share, kOwnConnections));
 }
 
--- a/src/libcore/session/proxy_confirming.cc
+++ b/src/libcore/session/proxy_confirming.cc
@@ -118,7 +118,7 @@
   const std::optional<ConnectionId> idle = database->pool.newest_idle();
   if (!idle.has_value()) {
     database->status_wanted = true;
-    const uint32_t cap = ConnectionCap(*database) + (beyond_cap ? 1 : 0);
+    const uint32_t cap = ConnectionCap(now, *database) + (beyond_cap ? 1 : 0);
     const bool room = database->pool.size() < cap;
     const bool opening = database->pool.opening() > 0;
     if (!opening && room && now >= database->open_not_before) {
--- a/src/libcore/session/proxy_impl.h
+++ b/src/libcore/session/proxy_impl.h
@@ -268,7 +268,7 @@
   bool MayAnswer(TimePoint now, const DatabaseState& database) const;
   uint32_t Window(const DatabaseState& database) const;
   bool TakesWork(TimePoint now, const DatabaseState& database) const;
-  uint32_t ConnectionCap(const DatabaseState& database) const;
+  uint32_t ConnectionCap(TimePoint now, const DatabaseState& database) const;
   void DropSilentIdle(TimePoint now, TimePoint since,
                       const std::string& database);
   void TrimIdle(TimePoint now, DatabaseState* database);
@@ -310,6 +310,8 @@
   std::string self_;
   /// Whether `instances_` has been told.
   bool have_instances_ = false;
+  /// When they were told first.
+  TimePoint instances_since_;
   std::vector<KeeperCandidate> instances_;
   Isolation isolation_;
   /// Instances asked for a sign of life, and since when.
--- a/src/libcore/session/proxy_instances.cc
+++ b/src/libcore/session/proxy_instances.cc
@@ -32,6 +32,7 @@
 void Proxy::Impl::SetKeepers(TimePoint now, const std::string& self,
                              const std::vector<KeeperCandidate>& instances) {
   self_ = self;
+  if (!have_instances_) instances_since_ = now;
   have_instances_ = true;
   instances_ = instances;
   std::vector<std::string> others;
--- a/src/libcore/session/proxy_pool.cc
+++ b/src/libcore/session/proxy_pool.cc
@@ -32,6 +32,9 @@
 /// for a transaction that rests. They are opened while no keeper is in reach,
 /// by a part of the instances, and closed when idle for `kIdleTime`.
 constexpr uint32_t kConnectionsAlone = 2;
+/// For so long a database may go on counting the connections of the process
+/// that was here before, if its machine lost power.
+constexpr milliseconds kLingerTime{3500};
 /// Idle connections beyond the first are closed after this long, for the use
 /// of other instances and for the reason above. Not sooner: opening costs the
 /// database a slot for a while.
@@ -224,20 +227,27 @@
          now < database.draining_since + kDrainingPrimary;
 }
 
-uint32_t Proxy::Impl::ConnectionCap(const DatabaseState& database) const {
+uint32_t Proxy::Impl::ConnectionCap(TimePoint now,
+                                    const DatabaseState& database) const {
   const auto group = groups_.find(database.info.group);
   if (group == groups_.end()) return kLeastConnections;
   if (!group->second->kept) return kConnectionsAlone;
   const uint32_t limit = group->second->limits.connection_limit;
   const size_t keepers = group->second->keepers.size();
-  if (keepers > 0) return ConnectionsOfKeeper(limit, keepers);
+  const bool by_workspace = workspaces_.keys_required();
+  if (keepers > 0) {
+    const uint32_t share = ConnectionsOfKeeper(limit, keepers, by_workspace);
+    const bool young = now - instances_since_ < kLingerTime;
+    if (!by_workspace || !young) return share;
+    return std::max(kLeastConnections, share / 2);
+  }
   return std::max(kLeastConnections, limit / kConnectionPart);
 }
 
 bool Proxy::Impl::MayOpen(TimePoint now, const DatabaseState& database) const {
   return now >= database.open_not_before &&
          database.pool.opening() < kMaxOpening &&
-         database.pool.size() < ConnectionCap(database);
+         database.pool.size() < ConnectionCap(now, database);
 }
 
 /// The same for a workspace, for which an idle connection of another one may be
@@ -249,7 +259,7 @@
   if (pool.opening() >= kMaxOpening || pool.opening(workspace) > 0) {
     return false;
   }
-  const uint32_t cap = ConnectionCap(database);
+  const uint32_t cap = ConnectionCap(now, database);
   if (pool.size() < cap) return true;
   return pool.size() == cap && pool.EvictableFor(now, workspace).has_value();
 }
@@ -294,7 +304,7 @@
   Connection* connection = TakeIdle(now, database, caller);
   if (connection != nullptr) return connection;
   if (!MayOpenFor(now, *database, caller.workspace)) return nullptr;
-  if (database->pool.size() >= ConnectionCap(*database)) {
+  if (database->pool.size() >= ConnectionCap(now, *database)) {
     const auto evicted = database->pool.EvictableFor(now, caller.workspace);
     if (!evicted.has_value()) return nullptr;
     CloseConnection(now, FindConnection(*evicted));
--- a/testsuite/session_connections/connections_test.cc
+++ b/testsuite/session_connections/connections_test.cc
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 
 #include <random>
+#include <tuple>
 
 #include "testsuite/support/session/checked_callers.h"
 
@@ -19,11 +20,16 @@
 /// second in which callers would notice.
 constexpr milliseconds kServesAgain{1000};
 
-class ConnectionsTest : public testing::TestWithParam<uint64_t>,
-                        public CallerListener {
+class ConnectionsTest
+    : public testing::TestWithParam<std::tuple<uint64_t, uint64_t>>,
+      public CallerListener {
  protected:
-  ConnectionsTest() : random_(GetParam()), cluster_(&clock_, GetParam() + 1) {
+  ConnectionsTest()
+      : random_(std::get<0>(GetParam())),
+        cluster_(&clock_, std::get<0>(GetParam()) + 1),
+        workspaces_(std::get<1>(GetParam())) {
     fleet_.connection_limit = kConnectionLimit;
+    if (workspaces_ > 0) fleet_.routes = RoutesOfWorkspaces();
     for (const char* id : {"db-a", "db-b", "db-c"}) {
       cluster_.database(id).max_connections = kConnectionLimit;
     }
@@ -37,6 +43,23 @@
     for (CallerId caller = 0; caller < kCallers; ++caller) StartCaller(caller);
   }
 
+  RouteTable RoutesOfWorkspaces() const {
+    RouteTable table = TestRoutes(kConnectionLimit);
+    table.workspaces.keys_required = true;
+    for (uint64_t i = 0; i < workspaces_; ++i) {
+      core::workspace::Workspace workspace;
+      workspace.name = "w" + std::to_string(i);
+      workspace.keys = {{1, i}};
+      table.workspaces.workspaces[workspace.name] = workspace;
+    }
+    return table;
+  }
+  /// A few workspaces have most of the callers.
+  core::workspace::KeyDigest KeyOf(CallerId caller) const {
+    if (workspaces_ == 0) return {};
+    return {1, caller % 2 == 0 ? caller % 5 : caller * 7 % workspaces_};
+  }
+
   void OnReply(CallerId caller, const Reply& reply) override {
     ++answers_;
     served_ += reply.ok() ? 1 : 0;
@@ -51,7 +74,8 @@
   }
   void StartCaller(CallerId caller) {
     HostOf(caller).proxy()->CallerStarted(
-        clock_.now(), caller + 1, caller % 2 == 0 ? "bounded" : "primary");
+        clock_.now(), caller + 1, caller % 2 == 0 ? "bounded" : "primary",
+        KeyOf(caller));
     AskSoon(caller + 1);
   }
   void AskSoon(CallerId caller) {
@@ -113,6 +137,7 @@
   std::mt19937_64 random_;
   VirtualClock clock_;
   FakeCluster cluster_;
+  const uint64_t workspaces_;
   FakeFleet fleet_;
   std::vector<std::unique_ptr<InstanceHost>> hosts_;
   std::map<CallerId, uint64_t> lives_;
@@ -139,8 +164,11 @@
   EXPECT_EQ(cluster_.over_limit(), 0U);
 }
 
+// Without workspaces, with as many as there are on a large deployment, and with
+// more than a database takes connections.
 INSTANTIATE_TEST_SUITE_P(Seeds, ConnectionsTest,
-                         testing::Range<uint64_t>(1, 13));
+                         testing::Combine(testing::Range<uint64_t>(1, 13),
+                                          testing::Values(0, 78, 2000)));
 
 }  // namespace
 }  // namespace ryefold::testsuite
