--- /dev/null
+++ b/testsuite/failover_after_promotion/candidate_test.cc
@@ -0,0 +1,72 @@
+// The choice of a successor shortly after a promotion.
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include "ryefold/core/failover/coordinator.h"
+
+namespace ryefold::core::failover {
+namespace {
+
+using session::DatabaseView;
+using session::GroupView;
+using std::chrono::milliseconds;
+
+TimePoint At(int64_t ms) {
+  return TimePoint(std::chrono::hours(1)) + milliseconds(ms);
+}
+
+class AfterPromotionTest : public testing::Test,
+                           public PromotionAuthority,
+                           public CoordinatorPort {
+ protected:
+  void Promote(const std::string& /*group*/, const std::string& database,
+               uint64_t /*token*/) override {
+    ordered_ = database;
+  }
+  void Probe(const std::string& /*group*/) override {}
+  void Announce(const std::string& /*group*/,
+                const std::string& /*database*/) override {}
+  void ReplaceToken(const std::string& /*reason*/) override {}
+
+  DatabaseView* Add(const std::string& id, LogPosition received) {
+    DatabaseView database;
+    database.id = id;
+    database.status.received = received;
+    database.status.term = received.term;
+    database.status_asked = At(0);
+    database.last_heard = At(0);
+    group_.databases.push_back(database);
+    return &group_.databases.back();
+  }
+
+  GroupView group_;
+  std::string ordered_;
+};
+
+// A primary with entries that nobody received was replaced, and its successor
+// is lost a second later. The statuses known are from before that promotion.
+// The old primary must not be named by them: what was committed under the new
+// term, and acknowledged, is lost then.
+TEST_F(AfterPromotionTest, NamesNobodyByAStatusFromBeforeTheTerm) {
+  Coordinator coordinator(CoordinatorTiming(), this, this, nullptr);
+  group_.group = "group";
+  group_.primary = "b";
+  group_.term = 2;
+  group_.databases.reserve(3);
+  Add("a", {1, 118});
+  DatabaseView* lost = Add("b", {1, 109});
+  lost->primary = true;
+  lost->responsive = false;
+  lost->silent_since = At(-3000);
+  Add("c", {1, 109});
+  for (int64_t now = 0; now <= 400; now += 100) {
+    coordinator.Observe(At(now), {group_}, 7);
+  }
+  EXPECT_EQ(ordered_, "");
+}
+
+}  // namespace
+}  // namespace ryefold::core::failover
