Terms of the field: ledger and accounts, revoked sessions; the pool's file split

No change of behaviour: limits_fleet, limits_parts, session_workspaces, session_proxy, session_directory and session_connections pass, lint is clean on the files changed.

--- a/src/include/ryefold/core/limits/allowance_books.h
+++ b/src/include/ryefold/core/limits/allowance_ledger.h
@@ -43,9 +43,9 @@
 /// Token buckets of the parts that this instance owns. An instance owns a shard
 /// while the newest table that it can know of says so: see
 /// docs/design/shifted-work.md for why no two ever grant the same part.
-class AllowanceBooks {
+class AllowanceLedger {
  public:
-  AllowanceBooks(TimePoint start, Granter self)
+  AllowanceLedger(TimePoint start, Granter self)
       : self_(std::move(self)), start_(start) {}
 
   /// A copy of the table was learnt at `now`.
@@ -61,7 +61,7 @@
   bool Owns(TimePoint now, const std::string& workspace, uint32_t part) const;
 
  private:
-  struct Book {
+  struct Account {
     TokenBucket bucket;
     uint64_t config_version = 0;
   };
@@ -79,7 +79,7 @@
   };
   /// By shard.
   std::map<size_t, Ownership> owned_;
-  std::map<PartKey, Book> books_;
+  std::map<PartKey, Account> accounts_;
 };
 
 }  // namespace ryefold::core::limits
--- a/src/include/ryefold/core/limits/granted_limiter.h
+++ b/src/include/ryefold/core/limits/granted_limiter.h
@@ -13,7 +13,7 @@
 
 #include "ryefold/core/admission/return_plan.h"
 #include "ryefold/core/event.h"
-#include "ryefold/core/limits/allowance_books.h"
+#include "ryefold/core/limits/allowance_ledger.h"
 #include "ryefold/core/limits/operation_limiter.h"
 #include "ryefold/core/limits/shards.h"
 
@@ -43,7 +43,7 @@
 /// a question is open join the next one.
 class GrantedLimiter : public OperationLimiter {
  public:
-  GrantedLimiter(Granter self, uint64_t seed, AllowanceBooks* books,
+  GrantedLimiter(Granter self, uint64_t seed, AllowanceLedger* ledger,
                  AllowancePort* port, LimitListener* listener,
                  EventSink* events);
 
@@ -108,7 +108,7 @@
   void Tell(TimePoint now, const Decisions& decisions);
 
   const Granter self_;
-  AllowanceBooks* books_;
+  AllowanceLedger* ledger_;
   AllowancePort* port_;
   LimitListener* listener_;
   EventSink* events_;
--- a/src/include/ryefold/wire/limits_codec.h
+++ b/src/include/ryefold/wire/limits_codec.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-#include "ryefold/core/limits/allowance_books.h"
+#include "ryefold/core/limits/allowance_ledger.h"
 
 namespace ryefold::wire {
 
--- a/src/libcore/limits/allowance_books.cc
+++ b/src/libcore/limits/allowance_ledger.cc
@@ -1,4 +1,4 @@
-#include "ryefold/core/limits/allowance_books.h"
+#include "ryefold/core/limits/allowance_ledger.h"
 
 #include <algorithm>
 
@@ -18,7 +18,7 @@
 
 }  // namespace
 
-void AllowanceBooks::SetTable(TimePoint now, const ShardTable& table) {
+void AllowanceLedger::SetTable(TimePoint now, const ShardTable& table) {
   std::map<size_t, Ownership> owned;
   for (size_t i = 0; i < table.shards.size(); ++i) {
     const Shard& shard = table.shards[i];
@@ -33,34 +33,34 @@
     owned[i] = {shard.assigned, from};
   }
   owned_ = std::move(owned);
-  std::erase_if(books_, [this](const auto& entry) {
+  std::erase_if(accounts_, [this](const auto& entry) {
     return owned_.count(ShardOf(entry.first.first, entry.first.second)) == 0;
   });
 }
 
 /// What comes back starts with nothing saved.
-void AllowanceBooks::ForgetShard(size_t shard) {
-  std::erase_if(books_, [shard](const auto& entry) {
+void AllowanceLedger::ForgetShard(size_t shard) {
+  std::erase_if(accounts_, [shard](const auto& entry) {
     return ShardOf(entry.first.first, entry.first.second) == shard;
   });
 }
 
-void AllowanceBooks::Retain(
+void AllowanceLedger::Retain(
     const std::map<std::string, workspace::WorkspaceRef>& workspaces) {
-  std::erase_if(books_, [&workspaces](const auto& entry) {
+  std::erase_if(accounts_, [&workspaces](const auto& entry) {
     return workspaces.count(entry.first.first) == 0;
   });
 }
 
-bool AllowanceBooks::Owns(TimePoint now, const std::string& workspace,
-                          uint32_t part) const {
+bool AllowanceLedger::Owns(TimePoint now, const std::string& workspace,
+                           uint32_t part) const {
   if (now - confirmed_at_ >= kOwnershipTerm - kClockReserve) return false;
   const auto shard = owned_.find(ShardOf(workspace, part));
   return shard != owned_.end() && now >= shard->second.from;
 }
 
-AllowanceAnswer AllowanceBooks::Grant(TimePoint now,
-                                      const AllowanceRequest& request) {
+AllowanceAnswer AllowanceLedger::Grant(TimePoint now,
+                                       const AllowanceRequest& request) {
   AllowanceAnswer answer;
   if (!Owns(now, request.workspace, request.part)) {
     answer.not_owner = true;
@@ -69,16 +69,16 @@
   const TimePoint from =
       owned_.at(ShardOf(request.workspace, request.part)).from;
   const auto [found, added] =
-      books_.try_emplace({request.workspace, request.part},
-                         Book{TokenBucket(std::max(from, start_)), 0});
-  Book& book = found->second;
-  if (added || request.config_version > book.config_version) {
-    book.config_version = request.config_version;
-    book.bucket.SetRate(now, request.limit.rate * kRateFactor / kParts,
-                        (request.limit.burst + kExtraBurst) / kParts);
+      accounts_.try_emplace({request.workspace, request.part},
+                            Account{TokenBucket(std::max(from, start_)), 0});
+  Account& account = found->second;
+  if (added || request.config_version > account.config_version) {
+    account.config_version = request.config_version;
+    account.bucket.SetRate(now, request.limit.rate * kRateFactor / kParts,
+                           (request.limit.burst + kExtraBurst) / kParts);
   }
-  answer.granted = book.bucket.Take(now, request.wanted);
-  if (answer.granted < request.wanted) answer.wait = book.bucket.wait(now);
+  answer.granted = account.bucket.Take(now, request.wanted);
+  if (answer.granted < request.wanted) answer.wait = account.bucket.wait(now);
   return answer;
 }
 
--- a/src/libcore/limits/granted_limiter.cc
+++ b/src/libcore/limits/granted_limiter.cc
@@ -31,10 +31,10 @@
 }  // namespace
 
 GrantedLimiter::GrantedLimiter(Granter self, uint64_t seed,
-                               AllowanceBooks* books, AllowancePort* port,
+                               AllowanceLedger* ledger, AllowancePort* port,
                                LimitListener* listener, EventSink* events)
     : self_(std::move(self)),
-      books_(books),
+      ledger_(ledger),
       port_(port),
       listener_(listener),
       events_(events),
@@ -127,7 +127,7 @@
         table_.shards[ShardOf(line->workspace->name, part)].owner;
     const AllowanceRequest request = RequestFor(*line, part);
     if (owner == self_) {
-      Take(books_->Grant(now, request), request.wanted, line, decisions);
+      Take(ledger_->Grant(now, request), request.wanted, line, decisions);
       continue;
     }
     if (IsSuspected(now, owner, request)) continue;
--- a/src/libcore/limits/shard_assigner.cc
+++ b/src/libcore/limits/shard_assigner.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <set>
 
-#include "ryefold/core/limits/allowance_books.h"
+#include "ryefold/core/limits/allowance_ledger.h"
 
 namespace ryefold::core::limits {
 namespace {
--- a/src/libcore/session/proxy.cc
+++ b/src/libcore/session/proxy.cc
@@ -43,7 +43,7 @@
   if (now < maintain_at_) return;
   maintain_at_ = now + kMaintenance;
   EndIdleTransactions(now);
-  EndExpelled(now);
+  EndRevoked(now);
   MaintainTouch(now);
   MaintainPools(now);
   for (auto& [name, group] : groups_) {
--- a/src/libcore/session/proxy_callers.cc
+++ b/src/libcore/session/proxy_callers.cc
@@ -156,8 +156,8 @@
                                   Statement statement) {
   Caller* caller = FindCaller(id);
   if (caller == nullptr) return;
-  if (caller->expelled) {
-    AnswerExpelled(now, caller);
+  if (caller->revoked) {
+    AnswerRevoked(now, caller);
     return;
   }
   if (AnswerWithoutDatabase(now, caller, statement)) return;
@@ -401,7 +401,7 @@
     EndTransaction(now, caller, /*roll_back=*/true);
   }
   callers_.erase(id);
-  expelled_.erase(id);
+  revoked_.erase(id);
 }
 
 void Proxy::Impl::EndIdleTransactions(TimePoint now) {
--- a/src/libcore/session/proxy_identity.cc
+++ b/src/libcore/session/proxy_identity.cc
@@ -48,14 +48,14 @@
 
 /// Keys were taken away. What has not been sent to a database is refused; what
 /// runs is answered; then the sessions end.
-void Proxy::Impl::ExpelCallers(TimePoint now) {
+void Proxy::Impl::RevokeSessions(TimePoint now) {
   std::vector<RequestId> unsent;
   for (auto& [id, caller] : callers_) {
-    if (caller.expelled || StillKnown(caller)) continue;
-    caller.expelled = true;
-    expelled_.insert(id);
+    if (caller.revoked || StillKnown(caller)) continue;
+    caller.revoked = true;
+    revoked_.insert(id);
     const Request* request = FindRequest(caller.request);
-    Event(events_, EventWeight::kRequest, "caller_expelled")
+    Event(events_, EventWeight::kRequest, "session_revoked")
         .Add("caller", id)
         .Add("workspace", caller.workspace)
         .Add("key_fingerprint", workspace::Fingerprint(caller.key))
@@ -71,12 +71,12 @@
     Refuse(now, FindRequest(id), ErrorCode::kUnknownKey,
            std::chrono::milliseconds(0), "key_dropped");
   }
-  EndExpelled(now);
+  EndRevoked(now);
 }
 
 /// The statement came after the key was taken away: its transaction is rolled
 /// back.
-void Proxy::Impl::AnswerExpelled(TimePoint now, Caller* caller) {
+void Proxy::Impl::AnswerRevoked(TimePoint now, Caller* caller) {
   if (caller->state == TransactionState::kOpen) {
     EndTransaction(now, caller, /*roll_back=*/true);
   }
@@ -84,14 +84,14 @@
   AnswerLocally(caller, ErrorCode::kUnknownKey, "key was taken away");
 }
 
-void Proxy::Impl::EndExpelled(TimePoint now) {
-  const std::vector<CallerId> ids(expelled_.begin(), expelled_.end());
+void Proxy::Impl::EndRevoked(TimePoint now) {
+  const std::vector<CallerId> ids(revoked_.begin(), revoked_.end());
   for (const CallerId id : ids) {
     const Caller* caller = FindCaller(id);
     if (caller != nullptr && caller->request != 0) continue;
     const bool adopted = caller != nullptr && caller->adopted;
     CallerGone(now, id);
-    expelled_.erase(id);
+    revoked_.erase(id);
     if (adopted) continue;  // told with its next statement
     port_->CloseCaller(id, ErrorCode::kUnknownKey, "key was taken away");
   }
--- a/src/libcore/session/proxy_impl.h
+++ b/src/libcore/session/proxy_impl.h
@@ -68,14 +68,16 @@
   // proxy_confirming.cc: commits that wait for a replica.
   void MaintainCommits(TimePoint now, Group* group);
 
-  // proxy_pool.cc: connections and databases.
+  // proxy_pool.cc: connections.
   void ConnectionOpened(TimePoint now, ConnectionId id);
   void ConnectionRefused(TimePoint now, ConnectionId id, ErrorCode error);
+  void ProbeGroup(TimePoint now, Group* group);
+  void MaintainPools(TimePoint now);
+
+  // proxy_directory.cc: configuration and databases.
   void OnRoster(TimePoint now, const Roster& roster);
   void StartedAnew(TimePoint now, DatabaseState* database);
   void OnRoutes(TimePoint now, const RouteTable& routes);
-  void ProbeGroup(TimePoint now, Group* group);
-  void MaintainPools(TimePoint now);
 
   // proxy_leadership.cc: who is the primary.
   bool Claimed(TimePoint now, Group* group, const std::string& database,
@@ -114,9 +116,9 @@
   // Who callers are (proxy_identity.cc).
   bool Admit(TimePoint now, const Route& route, Caller* caller);
   bool StillKnown(const Caller& caller) const;
-  void ExpelCallers(TimePoint now);
-  void AnswerExpelled(TimePoint now, Caller* caller);
-  void EndExpelled(TimePoint now);
+  void RevokeSessions(TimePoint now);
+  void AnswerRevoked(TimePoint now, Caller* caller);
+  void EndRevoked(TimePoint now);
   void StartOperation(TimePoint now, const Caller& caller, Request* request);
   void RefuseForLimit(TimePoint now, Request* request,
                       const limits::LimitAnswer& answer);
@@ -326,7 +328,7 @@
   ConnectionId last_connection_ = 0;
   TimePoint maintain_at_;
   /// Whose keys were taken away, until their sessions have ended.
-  std::set<CallerId> expelled_;
+  std::set<CallerId> revoked_;
   bool draining_ = false;
   TimePoint transactions_until_;
   TimePoint drain_end_;
--- a/src/libcore/session/proxy_placing.cc
+++ b/src/libcore/session/proxy_placing.cc
@@ -89,7 +89,7 @@
 }
 
 void Proxy::Impl::Dispatch(TimePoint now, Request* request) {
-  if (callers_.at(request->caller).expelled) {
+  if (callers_.at(request->caller).revoked) {
     Refuse(now, request, ErrorCode::kUnknownKey, milliseconds(0),
            "key_dropped");
     return;
--- a/src/libcore/session/state.h
+++ b/src/libcore/session/state.h
@@ -68,7 +68,7 @@
   /// Adopted only: version of the configuration by which it was admitted.
   uint64_t judged_by = 0;
   /// Its key was taken away: the session ends with the answer under way.
-  bool expelled = false;
+  bool revoked = false;
   std::map<std::string, std::string> variables;
   std::map<std::string, PreparedRef> prepared;
   TransactionState state = TransactionState::kIdle;
--- a/src/ryefoldd/limits_host.cc
+++ b/src/ryefoldd/limits_host.cc
@@ -30,8 +30,8 @@
 LimitsHost::LimitsHost(const Granter& self, Surroundings surroundings)
     : surroundings_(std::move(surroundings)),
       shards_(surroundings_.store),
-      books_(BootTime(), self),
-      limiter_(self, std::hash<std::string>()(self.instance), &books_, this,
+      ledger_(BootTime(), self),
+      limiter_(self, std::hash<std::string>()(self.instance), &ledger_, this,
                this, surroundings_.events) {
   surroundings_.peers->Serve(
       wire::kPeerAllowance,
@@ -49,14 +49,14 @@
     config_version_ = version;
     const auto& workspaces = surroundings_.proxy->workspaces().all();
     limiter_.SetConfiguration(version, workspaces);
-    books_.Retain(workspaces);
+    ledger_.Retain(workspaces);
   }
   if (!shards_.OnItems(items, changed)) return;
   const ShardTable table = shards_.table().value_or(ShardTable());
   Event(surroundings_.events, EventWeight::kState, "limit_owners_known")
       .Add("table", table.number)
       .Add("shards", table.shards.size());
-  books_.SetTable(now, table);
+  ledger_.SetTable(now, table);
   limiter_.SetTable(table);
   assigner_.SetTable(now, shards_.table());
 }
@@ -126,7 +126,7 @@
       request->config_version = config_version_;
     }
   }
-  call.Reply(wire::WriteAllowanceAnswer(books_.Grant(BootTime(), *request)));
+  call.Reply(wire::WriteAllowanceAnswer(ledger_.Grant(BootTime(), *request)));
 }
 
 void LimitsHost::OperationAllowed(core::TimePoint now,
--- a/src/ryefoldd/limits_host.h
+++ b/src/ryefoldd/limits_host.h
@@ -10,7 +10,7 @@
 
 #include "platform/shard_store.h"
 #include "ryefold/core/event.h"
-#include "ryefold/core/limits/allowance_books.h"
+#include "ryefold/core/limits/allowance_ledger.h"
 #include "ryefold/core/limits/granted_limiter.h"
 #include "ryefold/core/limits/shard_assigner.h"
 #include "ryefold/core/session/proxy.h"
@@ -45,7 +45,7 @@
   void OnItems(const core::mirror::EntryMap& items,
                const core::mirror::EntryMap& changed);
   /// The mirror's copy is known to be what the store held at `when`.
-  void OnConfirmed(core::TimePoint when) { books_.TableConfirmed(when); }
+  void OnConfirmed(core::TimePoint when) { ledger_.TableConfirmed(when); }
   void SetInstances(const std::vector<core::limits::Granter>& instances);
 
   core::limits::OperationLimiter* limiter() { return &limiter_; }
@@ -69,7 +69,7 @@
 
   const Surroundings surroundings_;
   platform::ShardStore shards_;
-  core::limits::AllowanceBooks books_;
+  core::limits::AllowanceLedger ledger_;
   core::limits::GrantedLimiter limiter_;
   core::limits::ShardAssigner assigner_;
   uint64_t config_version_ = 0;
--- a/testsuite/limits_parts/parts_test.cc
+++ b/testsuite/limits_parts/parts_test.cc
@@ -6,7 +6,7 @@
 #include <set>
 
 #include "platform/shard_store.h"
-#include "ryefold/core/limits/allowance_books.h"
+#include "ryefold/core/limits/allowance_ledger.h"
 #include "ryefold/core/limits/shard_assigner.h"
 #include "ryefold/core/limits/shards.h"
 #include "ryefold/core/limits/token_bucket.h"
@@ -72,61 +72,61 @@
   EXPECT_EQ(bucket.wait(kStart + milliseconds(250)), milliseconds(0));
 }
 
-TEST(AllowanceBooks, GrantWhatTheirShardsAllow) {
-  AllowanceBooks books(kStart, Self());
-  books.SetTable(kStart, TableOf(Self(), 1, true));
-  books.TableConfirmed(kStart);
-  EXPECT_EQ(books.Grant(kStart, RequestFor(1)).granted, 0U);
+TEST(AllowanceLedger, GrantWhatTheirShardsAllow) {
+  AllowanceLedger ledger(kStart, Self());
+  ledger.SetTable(kStart, TableOf(Self(), 1, true));
+  ledger.TableConfirmed(kStart);
+  EXPECT_EQ(ledger.Grant(kStart, RequestFor(1)).granted, 0U);
   const TimePoint later = kStart + milliseconds(1000);
   // A quarter of the rate, and a little more for operations that spread
   // unevenly.
-  EXPECT_EQ(books.Grant(later, RequestFor(1000)).granted, 103U);
+  EXPECT_EQ(ledger.Grant(later, RequestFor(1000)).granted, 103U);
 }
 
 // An owner that does not hear of the store any more grants what another one
 // grants as well by then.
-TEST(AllowanceBooks, StopWhenTheCopyOfTheTableIsOld) {
-  AllowanceBooks books(kStart, Self());
-  books.SetTable(kStart, TableOf(Self(), 1, true));
-  books.TableConfirmed(kStart);
-  EXPECT_TRUE(books.Owns(kStart + kOwnershipTerm / 2, "w", 0));
-  EXPECT_FALSE(books.Owns(kStart + kOwnershipTerm, "w", 0));
-  EXPECT_TRUE(books.Grant(kStart + kOwnershipTerm, RequestFor(1)).not_owner);
+TEST(AllowanceLedger, StopWhenTheCopyOfTheTableIsOld) {
+  AllowanceLedger ledger(kStart, Self());
+  ledger.SetTable(kStart, TableOf(Self(), 1, true));
+  ledger.TableConfirmed(kStart);
+  EXPECT_TRUE(ledger.Owns(kStart + kOwnershipTerm / 2, "w", 0));
+  EXPECT_FALSE(ledger.Owns(kStart + kOwnershipTerm, "w", 0));
+  EXPECT_TRUE(ledger.Grant(kStart + kOwnershipTerm, RequestFor(1)).not_owner);
 }
 
 // A new owner grants while the former one may still do so.
-TEST(AllowanceBooks, WaitUntilTheFormerOwnerHasStopped) {
-  AllowanceBooks books(kStart, Self());
-  books.SetTable(kStart, TableOf(Other(), 1, true));
-  books.SetTable(kStart + milliseconds(5), TableOf(Self(), 2, false));
+TEST(AllowanceLedger, WaitUntilTheFormerOwnerHasStopped) {
+  AllowanceLedger ledger(kStart, Self());
+  ledger.SetTable(kStart, TableOf(Other(), 1, true));
+  ledger.SetTable(kStart + milliseconds(5), TableOf(Self(), 2, false));
   const TimePoint due = kStart + milliseconds(5) + kOwnershipTerm;
-  books.TableConfirmed(due);
-  EXPECT_FALSE(books.Owns(due - milliseconds(1), "w", 0));
-  EXPECT_TRUE(books.Owns(due, "w", 0));
-  EXPECT_EQ(books.Grant(due, RequestFor(1000)).granted, 0U);
+  ledger.TableConfirmed(due);
+  EXPECT_FALSE(ledger.Owns(due - milliseconds(1), "w", 0));
+  EXPECT_TRUE(ledger.Owns(due, "w", 0));
+  EXPECT_EQ(ledger.Grant(due, RequestFor(1000)).granted, 0U);
 }
 
 // A shard went to another instance and came back, and this one has seen only
 // the last of the three tables.
-TEST(AllowanceBooks, WaitForAShardThatWasAnothersMeanwhile) {
-  AllowanceBooks books(kStart, Self());
-  books.SetTable(kStart, TableOf(Self(), 1, true));
-  books.TableConfirmed(kStart + milliseconds(10));
-  EXPECT_TRUE(books.Owns(kStart + milliseconds(5), "w", 0));
-  books.SetTable(kStart + milliseconds(10), TableOf(Self(), 3, false));
-  EXPECT_FALSE(books.Owns(kStart + milliseconds(20), "w", 0));
+TEST(AllowanceLedger, WaitForAShardThatWasAnothersMeanwhile) {
+  AllowanceLedger ledger(kStart, Self());
+  ledger.SetTable(kStart, TableOf(Self(), 1, true));
+  ledger.TableConfirmed(kStart + milliseconds(10));
+  EXPECT_TRUE(ledger.Owns(kStart + milliseconds(5), "w", 0));
+  ledger.SetTable(kStart + milliseconds(10), TableOf(Self(), 3, false));
+  EXPECT_FALSE(ledger.Owns(kStart + milliseconds(20), "w", 0));
 }
 
 // A limit is lowered; an instance that has not heard of it asks by the old one.
-TEST(AllowanceBooks, GoByTheNewestLimitAskedFor) {
-  AllowanceBooks books(kStart, Self());
-  books.SetTable(kStart, TableOf(Self(), 1, true));
-  books.TableConfirmed(kStart);
+TEST(AllowanceLedger, GoByTheNewestLimitAskedFor) {
+  AllowanceLedger ledger(kStart, Self());
+  ledger.SetTable(kStart, TableOf(Self(), 1, true));
+  ledger.TableConfirmed(kStart);
   AllowanceRequest lower = RequestFor(0, 4, 4);
   lower.config_version = 2;
-  books.Grant(kStart, lower);
+  ledger.Grant(kStart, lower);
   const TimePoint later = kStart + milliseconds(10000);
-  EXPECT_LE(books.Grant(later, RequestFor(1000)).granted, 5U);
+  EXPECT_LE(ledger.Grant(later, RequestFor(1000)).granted, 5U);
 }
 
 TEST(ShardAssigner, WaitsForTheFleetBeforeTheFirstTable) {
--- a/testsuite/support/limits/limit_fleet.h
+++ b/testsuite/support/limits/limit_fleet.h
@@ -15,7 +15,7 @@
 #include <utility>
 #include <vector>
 
-#include "ryefold/core/limits/allowance_books.h"
+#include "ryefold/core/limits/allowance_ledger.h"
 #include "ryefold/core/limits/granted_limiter.h"
 #include "ryefold/core/limits/shard_assigner.h"
 #include "testsuite/support/session/virtual_clock.h"
@@ -101,7 +101,7 @@
   uint64_t known_version_ = 0;
   uint64_t known_revision_ = 0;
   std::map<std::string, WorkspaceRef> workspaces_;
-  std::unique_ptr<core::limits::AllowanceBooks> books_;
+  std::unique_ptr<core::limits::AllowanceLedger> ledger_;
   std::unique_ptr<core::limits::GrantedLimiter> limiter_;
   std::unique_ptr<core::limits::ShardAssigner> assigner_;
 };
@@ -279,10 +279,10 @@
   known_version_ = 0;
   known_revision_ = 0;
   workspaces_.clear();
-  books_ = std::make_unique<core::limits::AllowanceBooks>(now, self_);
+  ledger_ = std::make_unique<core::limits::AllowanceLedger>(now, self_);
   limiter_ = std::make_unique<core::limits::GrantedLimiter>(
-      self_, std::hash<std::string>()(self_.instance), books_.get(), this, this,
-      nullptr);
+      self_, std::hash<std::string>()(self_.instance), ledger_.get(), this,
+      this, nullptr);
   assigner_ = std::make_unique<core::limits::ShardAssigner>();
   Tick();
 }
@@ -302,7 +302,7 @@
   Do([this] {
     if (fleet_->store.up && !cut_from_store) ReadStore();
     if (fleet_->breakage == Breakage::kOldOwnersDoNotStop) {
-      books_->TableConfirmed(fleet_->clock.now());
+      ledger_->TableConfirmed(fleet_->clock.now());
     }
     fleet_->clock.After(milliseconds(900 + fleet_->random()() % 200),
                         [this, life = life_] {
@@ -319,7 +319,7 @@
     known_version_ = store.version;
     workspaces_ = store.workspaces;
     limiter_->SetConfiguration(known_version_, workspaces_);
-    books_->Retain(workspaces_);
+    ledger_->Retain(workspaces_);
   }
   if (store.revision != known_revision_) {
     known_revision_ = store.revision;
@@ -327,10 +327,10 @@
     if (fleet_->breakage == Breakage::kNewOwnersDoNotWait) {
       for (auto& shard : table.shards) shard.settled = true;
     }
-    books_->SetTable(now, table);
+    ledger_->SetTable(now, table);
     limiter_->SetTable(table);
   }
-  books_->TableConfirmed(now);
+  ledger_->TableConfirmed(now);
   assigner_->SetTable(now, store.table);
   assigner_->SetInstances(now, {store.listed.begin(), store.listed.end()});
   const auto due = assigner_->Due(now);
@@ -375,7 +375,7 @@
         asked.config_version = target->known_version_;
       }
       const AllowanceAnswer answer =
-          target->books_->Grant(fleet_->clock.now(), asked);
+          target->ledger_->Grant(fleet_->clock.now(), asked);
       fleet_->clock.After(fleet_->Delay(),
                           [answered, answer] { answered(answer); });
     });
