A table of owners that is gone ends no process

Cause, found by reading: a workspace's order of parts was kept when the table in the store became unreadable or was deleted, and the next operation read an owner from the empty table, beyond its end. Change: orders are worked out when the table changes, not for each operation, and are empty without one. Test: limits_parts RefusesWhenTheTableIsGone failed, passes.

--- a/src/include/ryefold/core/limits/granted_limiter.h
+++ b/src/include/ryefold/core/limits/granted_limiter.h
@@ -47,7 +47,7 @@
                  AllowancePort* port, LimitListener* listener,
                  EventSink* events);
 
-  void SetTable(const ShardTable& table) { table_ = table; }
+  void SetTable(const ShardTable& table);
   /// Puts a configuration in force; workspaces that it lacks are forgotten.
   void SetConfiguration(
       uint64_t version,
--- a/src/libcore/limits/granted_limiter.cc
+++ b/src/libcore/limits/granted_limiter.cc
@@ -40,6 +40,11 @@
       events_(events),
       plan_(seed) {}
 
+void GrantedLimiter::SetTable(const ShardTable& table) {
+  table_ = table;
+  for (auto& [name, line] : lines_) line.order = OrderFor(name);
+}
+
 void GrantedLimiter::SetConfiguration(
     uint64_t version,
     const std::map<std::string, workspace::WorkspaceRef>& workspaces) {
@@ -60,16 +65,20 @@
 
 GrantedLimiter::Line* GrantedLimiter::LineOf(
     const workspace::WorkspaceRef& workspace) {
-  Line& line = lines_[workspace->name];
+  const auto [found, added] = lines_.try_emplace(workspace->name);
+  Line& line = found->second;
   line.workspace = workspace;
+  if (added) line.order = OrderFor(workspace->name);
   return &line;
 }
 
 /// The own part first, then those of the own failure domain; instances differ
-/// in the rest, so that all parts are asked for.
+/// in the rest, so that all parts are asked for. Nothing while there is no
+/// table.
 std::vector<uint32_t> GrantedLimiter::OrderFor(
     const std::string& workspace) const {
   std::vector<uint32_t> order;
+  if (table_.shards.empty()) return order;
   for (uint32_t part = 0; part < kParts; ++part) order.push_back(part);
   const auto rank = [this, &workspace](uint32_t part) {
     const Granter& owner = table_.shards[ShardOf(workspace, part)].owner;
@@ -116,8 +125,7 @@
 
 /// Goes on to the next owner for what waits, or refuses it when all were asked.
 void GrantedLimiter::Proceed(TimePoint now, Line* line, Decisions* decisions) {
-  if (line->tried == 0 && !table_.shards.empty()) {
-    line->order = OrderFor(line->workspace->name);
+  if (line->tried == 0) {
     line->dry = 0;
     line->least_wait = kMostDry;
   }
--- a/testsuite/limits_parts/parts_test.cc
+++ b/testsuite/limits_parts/parts_test.cc
@@ -3,10 +3,14 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <memory>
 #include <set>
+#include <utility>
+#include <vector>
 
 #include "platform/shard_store.h"
 #include "ryefold/core/limits/allowance_ledger.h"
+#include "ryefold/core/limits/granted_limiter.h"
 #include "ryefold/core/limits/shard_assigner.h"
 #include "ryefold/core/limits/shards.h"
 #include "ryefold/core/limits/token_bucket.h"
@@ -129,6 +133,72 @@
   EXPECT_LE(ledger.Grant(later, RequestFor(1000)).granted, 5U);
 }
 
+/// Takes down what a limiter asks and decides; nobody answers.
+class LimiterPort : public AllowancePort, public LimitListener {
+ public:
+  void AskOwner(uint64_t call, const Granter& /*owner*/,
+                const AllowanceRequest& /*request*/,
+                TimePoint /*deadline*/) override {
+    calls.push_back(call);
+  }
+  void OperationAllowed(TimePoint /*now*/, OperationId operation) override {
+    allowed.push_back(operation);
+  }
+  void OperationRefused(TimePoint /*now*/, OperationId operation,
+                        const LimitAnswer& answer) override {
+    refused.emplace_back(operation, answer.unknown);
+  }
+
+  std::vector<uint64_t> calls;
+  std::vector<OperationId> allowed;
+  std::vector<std::pair<OperationId, bool>> refused;
+};
+
+workspace::WorkspaceRef LimitedWorkspace() {
+  auto limited = std::make_shared<workspace::Workspace>();
+  limited->name = "w";
+  limited->limit = workspace::RateLimit{400, 400};
+  return limited;
+}
+
+// The table in the store cannot be read any more, while an operation waits for
+// an owner and others come: the process ends.
+TEST(GrantedLimiter, RefusesWhenTheTableIsGone) {
+  LimiterPort port;
+  AllowanceLedger ledger(kStart, Self());
+  GrantedLimiter limiter(Self(), 1, &ledger, &port, &port, nullptr);
+  limiter.SetTable(TableOf(Other(), 1, true));
+  const workspace::WorkspaceRef w = LimitedWorkspace();
+  EXPECT_EQ(limiter.Ask(kStart, w, 1).verdict, Verdict::kPending);
+  limiter.SetTable(ShardTable());
+  ASSERT_EQ(port.calls.size(), 1U);
+  AllowanceAnswer nothing;
+  nothing.not_owner = true;
+  limiter.Answered(kStart + milliseconds(1), port.calls.front(), nothing);
+  ASSERT_EQ(port.refused.size(), 1U);
+  EXPECT_TRUE(port.refused.front().second);
+  const TimePoint later = kStart + milliseconds(500);
+  EXPECT_EQ(limiter.Ask(later, w, 2).verdict, Verdict::kRefused);
+}
+
+// Owners change while an operation waits for one of them: the others have to be
+// asked, not the ones of before.
+TEST(GrantedLimiter, GoesOnByANewTable) {
+  LimiterPort port;
+  AllowanceLedger ledger(kStart, Self());
+  GrantedLimiter limiter(Self(), 1, &ledger, &port, &port, nullptr);
+  limiter.SetTable(TableOf(Other(), 1, true));
+  EXPECT_EQ(limiter.Ask(kStart, LimitedWorkspace(), 1).verdict,
+            Verdict::kPending);
+  ledger.SetTable(kStart - milliseconds(5000), TableOf(Self(), 2, true));
+  ledger.TableConfirmed(kStart);
+  limiter.SetTable(TableOf(Self(), 2, true));
+  AllowanceAnswer nothing;
+  nothing.not_owner = true;
+  limiter.Answered(kStart + milliseconds(1), port.calls.front(), nothing);
+  EXPECT_EQ(port.allowed.size() + port.refused.size(), 1U);
+}
+
 TEST(ShardAssigner, WaitsForTheFleetBeforeTheFirstTable) {
   ShardAssigner assigner;
   EXPECT_FALSE(assigner.Due(kStart).has_value());
