One piece of code for what stood twice; work taken off the path of statements

Workspaces::StandsFor answers for callers and for adopted statements alike. UseNewerLimit is the one place that compares configurations; the test's fleet had it again. Keepers are put by failure domain when they are chosen, not copied for each candidate of each statement. Classes and weights of a group's lines are worked out when something is queued, not at each new line: with thousands of workspaces that grew with the square of their number.

--- a/src/include/ryefold/core/limits/allowance_ledger.h
+++ b/src/include/ryefold/core/limits/allowance_ledger.h
@@ -26,6 +26,12 @@
   uint64_t config_version = 0;
 };
 
+/// Has the request go by this instance's configuration where that is the newer.
+void UseNewerLimit(
+    uint64_t config_version,
+    const std::map<std::string, workspace::WorkspaceRef>& workspaces,
+    AllowanceRequest* request);
+
 struct AllowanceAnswer {
   /// The instance grants nothing of this part at present; another one may.
   bool not_owner = false;
--- a/src/include/ryefold/core/workspace/workspaces.h
+++ b/src/include/ryefold/core/workspace/workspaces.h
@@ -82,6 +82,10 @@
   /// are required, everybody is let in and belongs to no workspace.
   Identity Identify(bool public_route, const KeyDigest& key) const;
 
+  /// Whether the key still stands for the workspace of this name, or no key is
+  /// required.
+  bool StandsFor(const KeyDigest& key, const std::string& workspace) const;
+
   /// Null when there is none of this name.
   WorkspaceRef Find(const std::string& name) const;
   bool keys_required() const { return keys_required_; }
--- a/src/libcore/limits/allowance_ledger.cc
+++ b/src/libcore/limits/allowance_ledger.cc
@@ -9,15 +9,25 @@
 
 /// Kept back from the term by the owner, for clocks that run unevenly.
 constexpr milliseconds kClockReserve{1000};
-/// What the parts add up to beyond the configured rate and burst. Operations
-/// spread unevenly over the parts, and one of them may be lost; the rule allows
-/// a tenth of all and twenty operations, of which this leaves room for grants
-/// that are used a moment later.
+/// What the parts add up to beyond the configured rate and burst: operations
+/// spread unevenly over the parts, and one of them may be lost. Below what may
+/// be exceeded by enough for grants that are used a moment later.
 constexpr double kRateFactor = 1.05;
 constexpr double kExtraBurst = 15;
 
 }  // namespace
 
+void UseNewerLimit(
+    uint64_t config_version,
+    const std::map<std::string, workspace::WorkspaceRef>& workspaces,
+    AllowanceRequest* request) {
+  if (config_version <= request->config_version) return;
+  const auto known = workspaces.find(request->workspace);
+  if (known == workspaces.end() || !known->second->limit.has_value()) return;
+  request->limit = *known->second->limit;
+  request->config_version = config_version;
+}
+
 void AllowanceLedger::SetTable(TimePoint now, const ShardTable& table) {
   std::map<size_t, Ownership> owned;
   for (size_t i = 0; i < table.shards.size(); ++i) {
--- a/src/libcore/session/proxy_identity.cc
+++ b/src/libcore/session/proxy_identity.cc
@@ -41,9 +41,7 @@
   const std::shared_ptr<const Route> route = RouteOf(caller);
   // A route that is gone is told to the caller as such.
   if (route == nullptr || route->open_to_all) return true;
-  const Identity identity = workspaces_.Identify(false, caller.key);
-  return identity.known && (identity.workspace == nullptr ||
-                            identity.workspace->name == caller.workspace);
+  return workspaces_.StandsFor(caller.key, caller.workspace);
 }
 
 /// Keys were taken away. What has not been sent to a database is refused; what
@@ -151,9 +149,7 @@
 bool Proxy::Impl::AdmitAdopted(const ForwardedStatement& forwarded) const {
   if (forwarded.config_version >= table_.version) return true;
   if (forwarded.route.open_to_all) return true;
-  const Identity identity = workspaces_.Identify(false, forwarded.key);
-  return identity.known && (identity.workspace == nullptr ||
-                            identity.workspace->name == forwarded.workspace);
+  return workspaces_.StandsFor(forwarded.key, forwarded.workspace);
 }
 
 /// The one place that every statement passes on its way to a database: it never
--- a/src/libcore/session/proxy_impl.h
+++ b/src/libcore/session/proxy_impl.h
@@ -157,9 +157,6 @@
   void ChooseAllKeepers(TimePoint now);
   const KeeperCandidate* ChooseKeeper(TimePoint now, const Request& request,
                                       const Group& group) const;
-  uint32_t PlaceAmongNeighbours(const std::string& workspace,
-                                const KeeperCandidate& keeper,
-                                const Group& group) const;
   bool NoPrimaryThere(TimePoint now, const Request& request, const Group& group,
                       const InstanceState& keeper) const;
   bool MayRunAlone(TimePoint now, const Request& request,
--- a/src/libcore/session/proxy_instances.cc
+++ b/src/libcore/session/proxy_instances.cc
@@ -135,22 +135,14 @@
     }
     group->kept = kept;
     group->keepers = std::move(keepers);
+    group->keepers_of_domain.clear();
+    for (const KeeperCandidate& each : group->keepers) {
+      group->keepers_of_domain[each.failure_domain].push_back(each);
+    }
     if (kept) OpenFirst(now, *group);
   }
 }
 
-uint32_t Proxy::Impl::PlaceAmongNeighbours(const std::string& workspace,
-                                           const KeeperCandidate& keeper,
-                                           const Group& group) const {
-  std::vector<KeeperCandidate> neighbours;
-  for (const KeeperCandidate& each : group.keepers) {
-    const bool near = each.failure_domain == keeper.failure_domain;
-    if (near) neighbours.push_back(each);
-  }
-  return static_cast<uint32_t>(
-      RankAmong(workspace, keeper.instance, neighbours));
-}
-
 /// The keeper with the least under way, the own failure domain preferred;
 /// among equals callers spread by their numbers.
 const KeeperCandidate* Proxy::Impl::ChooseKeeper(TimePoint now,
@@ -178,7 +170,10 @@
       cost += kOtherDomain;
     }
     if (!workspace.empty()) {
-      cost += kNextInOrder * PlaceAmongNeighbours(workspace, keeper, group);
+      const auto& neighbours =
+          group.keepers_of_domain.at(keeper.failure_domain);
+      cost += kNextInOrder * static_cast<uint32_t>(RankAmong(
+                                 workspace, keeper.instance, neighbours));
     }
     if (best != nullptr && cost >= best_cost) continue;
     best = &keeper;
--- a/src/libcore/session/proxy_placing.cc
+++ b/src/libcore/session/proxy_placing.cc
@@ -72,7 +72,7 @@
 }
 
 /// Counts a statement that asks to be served for the first time. A line that is
-/// new gets its class at once.
+/// new gets its class before anything of it is queued.
 void Proxy::Impl::NoteDemand(TimePoint now, Group* group,
                              const Request& request) {
   if (request.attempts > 0) return;
@@ -85,7 +85,7 @@
   const auto [line, added] = group->lines.try_emplace(request.line, priority);
   if (!added && line->second == priority) return;
   line->second = priority;
-  SetPolicies(now, group);
+  group->weigh_at = now;
 }
 
 void Proxy::Impl::Dispatch(TimePoint now, Request* request) {
@@ -140,6 +140,7 @@
   ticket.deadline =
       now < request->goal_at ? request->goal_at : request->timeout_at;
   request->queued = true;
+  if (now >= group->weigh_at) SetPolicies(now, group);
   UpdateRates(now, group);
   RefuseAll(now, queue->Push(now, std::move(ticket)));
   Pump(now, group);
--- a/src/libcore/session/state.h
+++ b/src/libcore/session/state.h
@@ -247,6 +247,8 @@
   bool kept = true;
   /// Empty: every instance holds connections.
   std::vector<KeeperCandidate> keepers;
+  /// The same by failure domain.
+  std::map<std::string, std::vector<KeeperCandidate>> keepers_of_domain;
   /// Ids of its databases.
   std::vector<std::string> databases;
   /// Database taken for the primary; empty when unknown.
--- a/src/libcore/workspace/workspaces.cc
+++ b/src/libcore/workspace/workspaces.cc
@@ -54,6 +54,13 @@
   return {true, found->second};
 }
 
+bool Workspaces::StandsFor(const KeyDigest& key,
+                           const std::string& workspace) const {
+  if (!keys_required_) return true;
+  const auto found = by_key_.find(key);
+  return found != by_key_.end() && found->second->name == workspace;
+}
+
 WorkspaceRef Workspaces::Find(const std::string& name) const {
   const auto found = by_name_.find(name);
   return found == by_name_.end() ? nullptr : found->second;
--- a/src/ryefoldd/limits_host.cc
+++ b/src/ryefoldd/limits_host.cc
@@ -117,15 +117,8 @@
     call.Refuse();
     return;
   }
-  // The newer of the two configurations decides.
-  if (config_version_ > request->config_version) {
-    const auto known =
-        surroundings_.proxy->workspaces().Find(request->workspace);
-    if (known != nullptr && known->limit.has_value()) {
-      request->limit = *known->limit;
-      request->config_version = config_version_;
-    }
-  }
+  core::limits::UseNewerLimit(
+      config_version_, surroundings_.proxy->workspaces().all(), &*request);
   call.Reply(wire::WriteAllowanceAnswer(ledger_.Grant(BootTime(), *request)));
 }
 
--- a/testsuite/support/limits/limit_fleet.h
+++ b/testsuite/support/limits/limit_fleet.h
@@ -368,12 +368,8 @@
   fleet_->clock.After(fleet_->Delay(), [this, target, request, answered] {
     target->Do([this, target, request, answered] {
       AllowanceRequest asked = request;
-      const auto known = target->workspaces_.find(request.workspace);
-      if (target->known_version_ > request.config_version &&
-          known != target->workspaces_.end()) {
-        asked.limit = *known->second->limit;
-        asked.config_version = target->known_version_;
-      }
+      core::limits::UseNewerLimit(target->known_version_, target->workspaces_,
+                                  &asked);
       const AllowanceAnswer answer =
           target->ledger_->Grant(fleet_->clock.now(), asked);
       fleet_->clock.After(fleet_->Delay(),
