Positions from before the last promotion no longer choose the successor

Callers lost commits that had been acknowledged: a primary was replaced, its successor failed soon after, and the replaced primary was promoted again, which discarded what had been acknowledged under the successor.

Cause: Coordinator::ChooseCandidate compared received positions of statuses that were requested before the present term began, and applied positions of any time. A replaced primary had reported entries that the promotion discarded, so it seemed to be ahead of the replica that held the commits of the new term.

Hypotheses: (1) positions from before the term; (2) a late order of an earlier holder; (3) a commit acknowledged without a replica. Ruled out: (2), the order carries the newest token; (3), the other replica's log holds the commits that were lost.

Change: the coordinator records when it noticed a new term or a new primary. A status counts if it was requested after that or reports the term, an applied position if it is of the term. A replica of which nothing current is known is not promoted, and a candidate that has not heard of the term waits while nothing current is known of the other. promotion_deferred says why a necessary promotion waits; `known` gives the term of each position, or "outdated".

Two new ones in failover_coordinator failed before: a primary known by the list alone, and an applied position of a replaced primary.

--- a/src/include/ryefold/core/failover/coordinator.h
+++ b/src/include/ryefold/core/failover/coordinator.h
@@ -102,6 +102,13 @@
  private:
   struct GroupState {
     TimePoint next_probe_at;
+    /// Newest term reported by any database, and the last known primary.
+    uint64_t term = 0;
+    std::string primary;
+    /// When this instance noticed that either of them changed.
+    TimePoint leadership_since;
+    /// The primary changed and has not reported yet which term it leads.
+    bool term_unknown = false;
     /// Start of the time without a primary; epoch while there is one.
     TimePoint no_primary_since;
     /// When a promotion became necessary; epoch while none is needed.
@@ -115,18 +122,41 @@
     /// not evaluated before.
     TimePoint promotion_deadline;
     std::string ordered_database;
+    /// Why a necessary promotion was deferred last; empty if it was not.
+    std::string deferral;
   };
   /// Returns why the group needs a new primary; empty if it does not.
   std::string PromotionReason(TimePoint now, const session::GroupView& group,
                               GroupState* state) const;
   void UpdateReplicationStall(TimePoint now, const session::GroupView& group,
                               GroupState* state) const;
+  static void UpdateLeadership(TimePoint now, const session::GroupView& group,
+                               GroupState* state);
+  static bool IsOfPresentTerm(const GroupState& state, uint64_t term);
+  static std::optional<LogPosition> ReceivedPosition(
+      const GroupState& state, const session::DatabaseView& database);
   bool HasStaleReplicaStatus(TimePoint now,
                              const session::GroupView& group) const;
   static bool WouldDiscardCommits(const session::GroupView& group,
+                                  const GroupState& state,
                                   const session::DatabaseView& candidate);
-  const session::DatabaseView* ChooseCandidate(
-      TimePoint now, const session::GroupView& group) const;
+  static bool MayLackPresentTerm(const session::GroupView& group,
+                                 const GroupState& state,
+                                 const session::DatabaseView& candidate);
+  const session::DatabaseView* ChooseCandidate(TimePoint now,
+                                               const session::GroupView& group,
+                                               const GroupState& state) const;
+  /// Returns why the promotion has to wait; empty if it does not.
+  std::string DeferralReason(TimePoint now, const session::GroupView& group,
+                             const GroupState& state,
+                             const session::DatabaseView* candidate) const;
+  static std::string DescribeDatabases(TimePoint now,
+                                       const session::GroupView& group,
+                                       const GroupState& state);
+  void OrderPromotion(TimePoint now, const session::GroupView& group,
+                      const session::DatabaseView& candidate,
+                      const std::string& cause, uint64_t token,
+                      GroupState* state);
   void ProbeIfDue(TimePoint now, const session::GroupView& group,
                   GroupState* state, bool suspected);
 
--- a/src/libcore/failover/coordinator.cc
+++ b/src/libcore/failover/coordinator.cc
@@ -16,34 +16,88 @@
   return nullptr;
 }
 
-/// Returns a lower bound of the position that the database has received.
-LogPosition ReceivedPosition(const DatabaseView& database) {
-  return std::max(database.status.received, database.applied);
+}  // namespace
+
+Coordinator::Coordinator(CoordinatorTiming timing,
+                         PromotionAuthority* authority, CoordinatorPort* port,
+                         EventSink* events)
+    : timing_(timing), authority_(authority), port_(port), events_(events) {}
+
+/// Records changes of the primary or the term, each of which shows that a
+/// promotion took place. A list of databases can name the new primary before
+/// any of them reports its term.
+void Coordinator::UpdateLeadership(TimePoint now, const GroupView& group,
+                                   GroupState* state) {
+  uint64_t newest = group.term;
+  for (const DatabaseView& database : group.databases) {
+    newest = std::max({newest, database.status.term,
+                       database.status.received.term, database.applied.term});
+  }
+  const bool new_term = newest > state->term;
+  const bool new_primary =
+      !group.primary.empty() && group.primary != state->primary;
+  if (new_term || new_primary) state->leadership_since = now;
+  if (new_term) {
+    state->term = newest;
+    state->term_unknown = false;
+  } else if (new_primary) {
+    state->term_unknown = true;
+  }
+  if (new_primary) state->primary = group.primary;
+  const DatabaseView* primary = FindPrimary(group);
+  if (state->term_unknown && primary != nullptr && primary->status.primary &&
+      primary->status.term == state->term &&
+      primary->status_requested_at > state->leadership_since) {
+    state->term_unknown = false;
+  }
+}
+
+bool Coordinator::IsOfPresentTerm(const GroupState& state, uint64_t term) {
+  return term >= state.term && !state.term_unknown;
+}
+
+/// Returns a lower bound of the position that the database has received under
+/// the present primary. Returns nullopt if all that is known of it may predate
+/// the last promotion, which discards the entries that the promoted database
+/// lacks.
+std::optional<LogPosition> Coordinator::ReceivedPosition(
+    const GroupState& state, const DatabaseView& database) {
+  const session::StatusReport& status = database.status;
+  const bool current_status =
+      database.status_requested_at > state.leadership_since ||
+      IsOfPresentTerm(state, std::max(status.term, status.received.term));
+  const bool current_applied = IsOfPresentTerm(state, database.applied.term);
+  if (!current_status && !current_applied) return std::nullopt;
+  LogPosition position;
+  if (current_status) position = status.received;
+  if (current_applied) position = std::max(position, database.applied);
+  return position;
 }
 
 /// Formats received position, status age and responsiveness of each database
 /// for the log.
-std::string DescribeDatabases(TimePoint now, const GroupView& group) {
+std::string Coordinator::DescribeDatabases(TimePoint now,
+                                           const GroupView& group,
+                                           const GroupState& state) {
   std::string text;
   for (const DatabaseView& database : group.databases) {
     const auto age = std::chrono::duration_cast<milliseconds>(
         now - database.status_requested_at);
+    const auto position = ReceivedPosition(state, database);
     if (!text.empty()) text.append(",");
     text.append(database.id).append(":");
-    text.append(std::to_string(ReceivedPosition(database).index)).append("@");
-    text.append(std::to_string(age.count())).append("ms");
+    if (position.has_value()) {
+      text.append(std::to_string(position->term)).append(".");
+      text.append(std::to_string(position->index));
+    } else {
+      text.append("outdated");
+    }
+    text.append("@").append(std::to_string(age.count())).append("ms");
     if (!database.responsive) text.append("(silent)");
   }
   return text;
 }
 
-}  // namespace
-
-Coordinator::Coordinator(CoordinatorTiming timing,
-                         PromotionAuthority* authority, CoordinatorPort* port,
-                         EventSink* events)
-    : timing_(timing), authority_(authority), port_(port), events_(events) {}
-
 std::string Coordinator::PromotionReason(TimePoint now, const GroupView& group,
                                          GroupState* state) const {
   const DatabaseView* primary = FindPrimary(group);
@@ -98,20 +152,22 @@
 }
 
 /// Returns the most advanced replica among those that answer, since only what
-/// it has received survives the promotion; nullptr if there is none. Received
-/// entries are never lost, so an old status or an applied position counts too:
-/// a replica that is too busy for status calls may be the most advanced one.
-const DatabaseView* Coordinator::ChooseCandidate(TimePoint now,
-                                                 const GroupView& group) const {
+/// it has received survives the promotion; nullptr if there is none. Entries of
+/// the present term are not discarded, so an old status or an applied position
+/// of that term counts too: a replica that is too busy for status calls may be
+/// the most advanced one.
+const DatabaseView* Coordinator::ChooseCandidate(
+    TimePoint now, const GroupView& group, const GroupState& state) const {
   const DatabaseView* best = nullptr;
+  std::optional<LogPosition> best_position;
   for (const DatabaseView& database : group.databases) {
     if (database.id == group.primary || database.draining) continue;
     if (database.refusals > 0 || !database.responsive) continue;
     if (now - database.last_contact > timing_.max_status_age) continue;
-    if (best == nullptr ||
-        ReceivedPosition(database) > ReceivedPosition(*best)) {
-      best = &database;
-    }
+    const auto position = ReceivedPosition(state, database);
+    if (!position.has_value() || position <= best_position) continue;
+    best = &database;
+    best_position = position;
   }
   return best;
 }
@@ -136,19 +192,54 @@
 /// which the promotion would discard. While the primary is alive only writes
 /// wait, so the promotion waits until that replica answers or is unlisted.
 bool Coordinator::WouldDiscardCommits(const GroupView& group,
+                                      const GroupState& state,
                                       const DatabaseView& candidate) {
   const DatabaseView* primary = FindPrimary(group);
   const bool primary_alive = primary != nullptr && primary->responsive &&
                              primary->refusals == 0 && !primary->draining;
   if (!primary_alive) return false;
+  const auto candidate_position = ReceivedPosition(state, candidate);
+  return std::any_of(
+      group.databases.begin(), group.databases.end(),
+      [&group, &state, &candidate_position](const DatabaseView& database) {
+        return database.id != group.primary &&
+               ReceivedPosition(state, database) > candidate_position;
+      });
+}
+
+/// Returns whether the candidate has not heard of the present term while
+/// nothing current is known of another replica. Commits of the term are
+/// acknowledged once one replica has received them, which must be the other.
+bool Coordinator::MayLackPresentTerm(const GroupView& group,
+                                     const GroupState& state,
+                                     const DatabaseView& candidate) {
+  const uint64_t known_term =
+      std::max({candidate.status.term, candidate.status.received.term,
+                candidate.applied.term});
+  if (IsOfPresentTerm(state, known_term)) return false;
   return std::any_of(group.databases.begin(), group.databases.end(),
-                     [&group, &candidate](const DatabaseView& database) {
+                     [&group, &state](const DatabaseView& database) {
                        return database.id != group.primary &&
-                              ReceivedPosition(database) >
-                                  ReceivedPosition(candidate);
+                              !database.draining &&
+                              !ReceivedPosition(state, database).has_value();
                      });
 }
 
+std::string Coordinator::DeferralReason(TimePoint now, const GroupView& group,
+                                        const GroupState& state,
+                                        const DatabaseView* candidate) const {
+  if (candidate == nullptr) return "no replica with a current position";
+  if (WouldDiscardCommits(group, state, *candidate)) {
+    return "another replica has received more";
+  }
+  if (MayLackPresentTerm(group, state, *candidate)) {
+    return "candidate has not heard of the term";
+  }
+  const bool may_wait = now - state.needed_since < timing_.status_wait;
+  if (may_wait && HasStaleReplicaStatus(now, group)) return "stale status";
+  return "";
+}
+
 void Coordinator::ProbeIfDue(TimePoint now, const GroupView& group,
                              GroupState* state, bool suspected) {
   if (now < state->next_probe_at) return;
@@ -168,6 +259,7 @@
     if (group.databases.empty()) continue;
     GroupState& state = groups_[group.group];
     const DatabaseView* primary = FindPrimary(group);
+    UpdateLeadership(now, group, &state);
     const bool promoting = now < state.promotion_deadline;
     if (promoting && group.primary != state.ordered_database) continue;
     if (promoting) state.promotion_deadline = TimePoint();
@@ -179,36 +271,55 @@
     const std::string cause = PromotionReason(now, group, &state);
     if (cause.empty()) {
       state.needed_since = TimePoint();
+      state.deferral.clear();
       continue;
     }
     if (state.needed_since == TimePoint()) state.needed_since = now;
-    const bool may_wait = now - state.needed_since < timing_.status_wait;
-    const DatabaseView* candidate = ChooseCandidate(now, group);
-    const bool wait = candidate == nullptr ||
-                      WouldDiscardCommits(group, *candidate) ||
-                      (may_wait && HasStaleReplicaStatus(now, group));
-    if (wait) {
-      ProbeIfDue(now, group, &state, /*suspected=*/true);
+    const DatabaseView* candidate = ChooseCandidate(now, group, state);
+    const std::string deferral = DeferralReason(now, group, state, candidate);
+    if (deferral.empty()) {
+      OrderPromotion(now, group, *candidate, cause, *token, &state);
       continue;
     }
-    Event(events_, EventPriority::kState, "promotion_ordered")
-        .Add("group", group.group)
-        .Add("database", candidate->id)
-        .Add("cause", cause)
-        .Add("replaces", group.primary)
-        .Add("token", *token)
-        .Add("term", group.term)
-        .Add("received", ReceivedPosition(*candidate).index)
-        .Add("status_age", now - candidate->status_requested_at)
-        .Add("known", DescribeDatabases(now, group))
-        .Add("primary_heard",
-             primary == nullptr ? now - now : now - primary->last_contact);
-    state.promotion_deadline = now + timing_.promotion_timeout;
-    state.ordered_database = candidate->id;
-    authority_->Promote(group.group, candidate->id, *token);
+    if (deferral != state.deferral) {
+      Event(events_, EventPriority::kState, "promotion_deferred")
+          .Add("group", group.group)
+          .Add("cause", cause)
+          .Add("reason", deferral)
+          .Add("term", state.term)
+          .Add("known", DescribeDatabases(now, group, state));
+    }
+    state.deferral = deferral;
+    ProbeIfDue(now, group, &state, /*suspected=*/true);
   }
 }
 
+void Coordinator::OrderPromotion(TimePoint now, const GroupView& group,
+                                 const DatabaseView& candidate,
+                                 const std::string& cause, uint64_t token,
+                                 GroupState* state) {
+  const DatabaseView* primary = FindPrimary(group);
+  const LogPosition received =
+      ReceivedPosition(*state, candidate).value_or(LogPosition());
+  Event(events_, EventPriority::kState, "promotion_ordered")
+      .Add("group", group.group)
+      .Add("database", candidate.id)
+      .Add("cause", cause)
+      .Add("replaces", group.primary)
+      .Add("token", token)
+      .Add("term", state->term)
+      .Add("received", received.index)
+      .Add("status_age", now - candidate.status_requested_at)
+      .Add("waited", now - state->needed_since)
+      .Add("known", DescribeDatabases(now, group, *state))
+      .Add("primary_heard",
+           primary == nullptr ? now - now : now - primary->last_contact);
+  state->deferral.clear();
+  state->promotion_deadline = now + timing_.promotion_timeout;
+  state->ordered_database = candidate.id;
+  authority_->Promote(group.group, candidate.id, token);
+}
+
 void Coordinator::PromotionAnswered(TimePoint now, const std::string& group,
                                     uint64_t token, PromotionOutcome outcome) {
   const auto found = groups_.find(group);
--- a/testsuite/failover_coordinator/coordinator_test.cc
+++ b/testsuite/failover_coordinator/coordinator_test.cc
@@ -274,5 +274,39 @@
   EXPECT_GE(orders_.size(), 2U);
 }
 
+// The list of databases names a new primary, which fails before it has reported
+// its term. The known statuses predate the promotion: by them the replaced
+// primary, whose last entries were discarded, would be promoted again.
+TEST_F(CoordinatorTest, IgnoresStatusesFromBeforeAChangeOfThePrimary) {
+  View(0).status.received = {1, 118};
+  Run(0, 1000);
+  group_.primary = "b";
+  busy_ = {"a", "c"};
+  View(1).refusals = 5;
+  Run(1100, 2500);
+  EXPECT_TRUE(orders_.empty());
+  busy_.clear();
+  View(0).status.received = {1, 100};
+  View(2).status.received = {2, 101};
+  Run(2600, 2800);
+  ASSERT_EQ(orders_.size(), 1U);
+  EXPECT_EQ(orders_[0].database, "c");
+}
+
+// A replaced primary reported positions that the promotion discarded. They must
+// not outweigh its present log, which lacks acknowledged entries of the other
+// replica.
+TEST_F(CoordinatorTest, IgnoresPositionsAppliedBeforeTheTerm) {
+  group_.primary = "b";
+  group_.term = 2;
+  View(0).applied = {1, 118};
+  View(2).status.received = {1, 112};
+  Run(0, 500);
+  View(1).refusals = 5;
+  Run(600, 900);
+  ASSERT_EQ(orders_.size(), 1U);
+  EXPECT_EQ(orders_[0].database, "c");
+}
+
 }  // namespace
 }  // namespace ryefold::core::failover
