Positions from before the primary's failure no longer choose the successor

Callers would lose commits that were acknowledged in the last 0.7 s before a primary crashed, if the two replicas had received them at different times.

Cause: a status up to 700 ms old was enough at a promotion, and a healthy group is probed once a second. "connection refused" is certain 150 to 250 ms after a crash, so both positions could predate the crash by half a second. At equal positions the first in the list was taken. The first probe of a suspected group waited for the interval of a healthy one.

Hypotheses: (1) old statuses; (2) statuses that are missing. promotion_ordered of a traced run shows status_age=361ms beside primary_heard=250ms with both positions known: (1).

Change: the coordinator records since when the primary seems to fail, probes at once, and waits for statuses requested from then on, for status_wait (500 ms) at most as before, so a busy replica delays a promotion no longer than it did.

Tests: ChoosesByStatusesRequestedAfterTheFailure and ProbesAtOnceWhenThePrimaryFails in failover_coordinator, both failed before.

--- a/src/include/ryefold/core/failover/coordinator.h
+++ b/src/include/ryefold/core/failover/coordinator.h
@@ -111,6 +111,8 @@
     bool term_unknown = false;
     /// Start of the time without a primary; epoch while there is one.
     TimePoint no_primary_since;
+    /// Since when the primary seems to fail; epoch while it does not.
+    TimePoint suspected_since;
     /// When a promotion became necessary; epoch while none is needed.
     TimePoint needed_since;
     /// Newest position received by any replica.
@@ -135,8 +137,11 @@
   static bool IsOfPresentTerm(const GroupState& state, uint64_t term);
   static std::optional<LogPosition> ReceivedPosition(
       const GroupState& state, const session::DatabaseView& database);
-  bool HasStaleReplicaStatus(TimePoint now,
-                             const session::GroupView& group) const;
+  static void UpdateSuspicion(TimePoint now, bool failing, GroupState* state);
+  static bool IsReadSinceFailure(const GroupState& state,
+                                 const session::DatabaseView& database);
+  bool HasStaleReplicaStatus(TimePoint now, const session::GroupView& group,
+                             const GroupState& state) const;
   static bool WouldDiscardCommits(const session::GroupView& group,
                                   const GroupState& state,
                                   const session::DatabaseView& candidate);
--- a/src/libcore/failover/coordinator.cc
+++ b/src/libcore/failover/coordinator.cc
@@ -172,19 +172,29 @@
   return best;
 }
 
-/// Returns whether a replica answers other calls but has no recent status.
-bool Coordinator::HasStaleReplicaStatus(TimePoint now,
-                                        const GroupView& group) const {
-  return std::any_of(group.databases.begin(), group.databases.end(),
-                     [this, now, &group](const DatabaseView& database) {
-                       const bool counts = database.id != group.primary &&
-                                           !database.draining &&
-                                           database.refusals == 0 &&
-                                           now - database.last_contact <=
-                                               timing_.max_status_age;
-                       return counts && now - database.status_requested_at >
-                                            timing_.max_status_age;
-                     });
+/// Returns whether the database's position was requested after the present
+/// primary failed, so that it includes all commits that were acknowledged.
+bool Coordinator::IsReadSinceFailure(const GroupState& state,
+                                     const DatabaseView& database) {
+  return ReceivedPosition(state, database).has_value() &&
+         database.status_requested_at >= state.suspected_since;
+}
+
+/// Returns whether a replica answers other calls but has no status that is both
+/// recent and from after the primary's failure.
+bool Coordinator::HasStaleReplicaStatus(TimePoint now, const GroupView& group,
+                                        const GroupState& state) const {
+  return std::any_of(
+      group.databases.begin(), group.databases.end(),
+      [this, now, &group, &state](const DatabaseView& database) {
+        const bool counts =
+            database.id != group.primary && !database.draining &&
+            database.refusals == 0 &&
+            now - database.last_contact <= timing_.max_status_age;
+        return counts &&
+               (!IsReadSinceFailure(state, database) ||
+                now - database.status_requested_at > timing_.max_status_age);
+      });
 }
 
 /// Returns whether the primary is alive and another replica has received
@@ -236,10 +246,24 @@
     return "candidate has not heard of the term";
   }
   const bool may_wait = now - state.needed_since < timing_.status_wait;
-  if (may_wait && HasStaleReplicaStatus(now, group)) return "stale status";
+  if (may_wait && HasStaleReplicaStatus(now, group, state))
+    return "stale status";
   return "";
 }
 
+/// Records since when the primary seems to fail. The interval of a healthy
+/// group must not delay the first probe: only statuses requested from then on
+/// count.
+void Coordinator::UpdateSuspicion(TimePoint now, bool failing,
+                                  GroupState* state) {
+  if (!failing) {
+    state->suspected_since = TimePoint();
+  } else if (state->suspected_since == TimePoint()) {
+    state->suspected_since = now;
+    state->next_probe_at = now;
+  }
+}
+
 void Coordinator::ProbeIfDue(TimePoint now, const GroupView& group,
                              GroupState* state, bool suspected) {
   if (now < state->next_probe_at) return;
@@ -264,9 +288,10 @@
     if (promoting && group.primary != state.ordered_database) continue;
     if (promoting) state.promotion_deadline = TimePoint();
     UpdateReplicationStall(now, group, &state);
-    const bool suspected = primary == nullptr || primary->draining ||
-                           !primary->responsive || primary->refusals > 0 ||
-                           state.stalled_since != TimePoint();
+    const bool failing = primary == nullptr || primary->draining ||
+                         !primary->responsive || primary->refusals > 0;
+    UpdateSuspicion(now, failing, &state);
+    const bool suspected = failing || state.stalled_since != TimePoint();
     ProbeIfDue(now, group, &state, suspected);
     const std::string cause = PromotionReason(now, group, &state);
     if (cause.empty()) {
--- a/testsuite/failover_coordinator/coordinator_test.cc
+++ b/testsuite/failover_coordinator/coordinator_test.cc
@@ -308,5 +308,31 @@
   EXPECT_EQ(orders_[0].database, "c");
 }
 
+// Both replicas reported the same position before the primary failed; since
+// then one has received commits, which were acknowledged. Statuses from before
+// the failure would choose the other and discard them.
+TEST_F(CoordinatorTest, ChoosesByStatusesRequestedAfterTheFailure) {
+  Run(0, 600);
+  busy_ = {"b", "c"};
+  View(0).refusals = 5;
+  Run(700, 900);
+  EXPECT_TRUE(orders_.empty());
+  busy_.clear();
+  View(2).status.received = {1, 150};
+  Run(1000, 1200);
+  ASSERT_EQ(orders_.size(), 1U);
+  EXPECT_EQ(orders_[0].database, "c");
+}
+
+// The interval between probes of a healthy group must not delay the statuses
+// that the promotion waits for.
+TEST_F(CoordinatorTest, ProbesAtOnceWhenThePrimaryFails) {
+  Run(0, 200);
+  const int probes = probes_;
+  View(0).refusals = 1;
+  Run(300, 300);
+  EXPECT_EQ(probes_, probes + 1);
+}
+
 }  // namespace
 }  // namespace ryefold::core::failover
