A promotion waits for a replica that nobody could ask

Callers lost acknowledged commits when a primary failed while the replica that held the newest ones was unreachable for a moment: the other one was promoted at once. Found while looking elsewhere for positions that are too old.

Cause: replicas that do not answer were left out of the choice, and WouldDiscardCommits held for a live primary only. A commit is acknowledged once the primary and one replica hold it, so with one replica unread and the primary lost nothing shows what was acknowledged.

Hypotheses: (1) unread replica; (2) positions from before the failure; (3) positions from before the term.

Change: a promotion waits while a replica is unreachable and was not read since the failure, unless the primary itself shows that the candidate has everything. A database that has ended leaves the list within three heartbeats, so the wait ends by itself; leaving databases are not waited for.

Tests: WaitsForAnUnreachableReplicaUntilItLeavesTheList failed before; PromotesACandidateThatHasAllOfThePrimarysCommits bounds the wait at planned changes and passed before.

--- a/src/include/ryefold/core/failover/coordinator.h
+++ b/src/include/ryefold/core/failover/coordinator.h
@@ -145,6 +145,9 @@
   static bool WouldDiscardCommits(const session::GroupView& group,
                                   const GroupState& state,
                                   const session::DatabaseView& candidate);
+  bool MayLackUnreadCommits(TimePoint now, const session::GroupView& group,
+                            const GroupState& state,
+                            const session::DatabaseView& candidate) const;
   static bool MayLackPresentTerm(const session::GroupView& group,
                                  const GroupState& state,
                                  const session::DatabaseView& candidate);
--- a/src/libcore/failover/coordinator.cc
+++ b/src/libcore/failover/coordinator.cc
@@ -235,6 +235,30 @@
                      });
 }
 
+/// Returns whether the candidate may lack acknowledged commits that only an
+/// unreachable replica has received. That is excluded if no replica is
+/// unreachable, or if the primary itself shows that it has nothing more: the
+/// primary holds every commit that was acknowledged under it. An unreachable
+/// replica that has ended is removed from the list of databases soon, so this
+/// delays the promotion by a few seconds at most.
+bool Coordinator::MayLackUnreadCommits(TimePoint now, const GroupView& group,
+                                       const GroupState& state,
+                                       const DatabaseView& candidate) const {
+  const bool all_read =
+      std::all_of(group.databases.begin(), group.databases.end(),
+                  [this, now, &state](const DatabaseView& database) {
+                    const bool answers =
+                        database.responsive && database.refusals == 0 &&
+                        now - database.last_contact <= timing_.max_status_age;
+                    return database.id == state.primary || database.draining ||
+                           answers || IsReadSinceFailure(state, database);
+                  });
+  if (all_read) return false;
+  const DatabaseView* primary = FindPrimary(group);
+  if (primary == nullptr || !IsReadSinceFailure(state, *primary)) return true;
+  return ReceivedPosition(state, candidate) < ReceivedPosition(state, *primary);
+}
+
 std::string Coordinator::DeferralReason(TimePoint now, const GroupView& group,
                                         const GroupState& state,
                                         const DatabaseView* candidate) const {
@@ -245,6 +269,9 @@
   if (MayLackPresentTerm(group, state, *candidate)) {
     return "candidate has not heard of the term";
   }
+  if (MayLackUnreadCommits(now, group, state, *candidate)) {
+    return "a replica is unreachable";
+  }
   const bool may_wait = now - state.needed_since < timing_.status_wait;
   if (may_wait && HasStaleReplicaStatus(now, group, state))
     return "stale status";
--- a/testsuite/failover_coordinator/coordinator_test.cc
+++ b/testsuite/failover_coordinator/coordinator_test.cc
@@ -334,5 +334,35 @@
   EXPECT_EQ(probes_, probes + 1);
 }
 
+// The primary fails while the replica with the newest commits is unreachable
+// for a short time. Promoting the other one would discard acknowledged commits.
+// Once the unreachable one has left the list, the other is all that remains.
+TEST_F(CoordinatorTest, WaitsForAnUnreachableReplicaUntilItLeavesTheList) {
+  View(1).status.received = {1, 100};
+  View(2).status.received = {1, 170};
+  Run(0, 1000);
+  unreachable_ = {"a", "c"};
+  View(0).refusals = 5;
+  View(2).responsive = false;
+  Run(1100, 4000);
+  EXPECT_TRUE(orders_.empty());
+  group_.databases.pop_back();
+  Run(4100, 4300);
+  ASSERT_EQ(orders_.size(), 1U);
+  EXPECT_EQ(orders_[0].database, "b");
+}
+
+// A leaving primary shows that the candidate has received all its commits, so
+// an unreachable third database must not delay the change.
+TEST_F(CoordinatorTest, PromotesACandidateThatHasAllOfThePrimarysCommits) {
+  Run(0, 1000);
+  unreachable_ = {"c"};
+  View(2).responsive = false;
+  View(0).draining = true;
+  Run(1100, 1700);
+  ASSERT_EQ(orders_.size(), 1U);
+  EXPECT_EQ(orders_[0].database, "b");
+}
+
 }  // namespace
 }  // namespace ryefold::core::failover
