A commit that the new primary lacks is not confirmed by another replica

Callers lost commits that were acknowledged while a promotion took effect: one replica had received the commit, another one that lacked it was promoted, and the commit was acknowledged by what the first had reported before. Found while looking elsewhere for positions that are too old.

Cause: Proxy::Impl::IsConfirmed counted any replica's position once the announcement of the promotion was cleared, which the first begin that the new primary accepts does. A begin shows the term of the last entry, so the term that makes such commits in doubt is known only later.

Hypotheses: (1) the coordinator chose wrongly; (2) the commit was confirmed by a position that the promotion had discarded.

Change: once the primary that made a commit is replaced, refused a call as replica, or is about to be replaced, only the successor's position confirms it. While writes are held for a commit of a replaced primary, the new primary's status is requested, whose term ends the hold.

Test: AcknowledgesNoCommitThatTheNewPrimaryLacks in session_proxy failed before.

--- a/src/libcore/session/proxy_confirming.cc
+++ b/src/libcore/session/proxy_confirming.cc
@@ -49,6 +49,26 @@
   return active_ids.empty() ? draining_ids : active_ids;
 }
 
+bool Proxy::Impl::AwaitsPromotion(TimePoint now, const Group& group) {
+  return !group.expected_primary.empty() && now < group.expected_until;
+}
+
+/// Returns whether a primary that committed under `term` has been replaced or
+/// is about to be.
+bool Proxy::Impl::IsReplaced(TimePoint now, const Group& group,
+                             const std::string& primary, uint64_t term) {
+  if (group.term > term || group.deposed.count(primary) > 0) return true;
+  return !SuccessorOf(now, group, primary).empty();
+}
+
+/// Returns the database that replaces `primary`, or "" if none is known.
+std::string Proxy::Impl::SuccessorOf(TimePoint now, const Group& group,
+                                     const std::string& primary) {
+  const std::string& next =
+      AwaitsPromotion(now, group) ? group.expected_primary : group.primary;
+  return next == primary ? "" : next;
+}
+
 bool Proxy::Impl::IsConfirmed(TimePoint now, const Group& group,
                               const LogPosition& position,
                               const std::string& committed_by) const {
@@ -57,13 +77,13 @@
   // No database can be promoted, so no commit can be discarded: the primary has
   // the only log and keeps it.
   if (replicas.empty()) return true;
-  const bool awaits_promotion =
-      !group.expected_primary.empty() && now < group.expected_until;
+  // A promotion discards commits that the new primary lacks, even if other
+  // replicas have received them.
+  const bool replaced = IsReplaced(now, group, committed_by, position.term);
+  const std::string successor = SuccessorOf(now, group, committed_by);
   std::vector<LogPosition> received;
   for (const std::string& id : replicas) {
-    // A promotion discards commits that the new primary lacks, even if other
-    // replicas have them.
-    if (awaits_promotion && id != group.expected_primary) continue;
+    if (replaced && id != successor) continue;
     // An applied position has also been received, and ordinary replies report
     // it.
     const DatabaseState& database = databases_.at(id);
@@ -263,6 +283,12 @@
   SettleCommits(now, group);
   group->next_replica_poll_at = now + kHeldPollInterval;
   PollReplicas(now, group);
+  // A new primary ends the hold by the term that it reports.
+  const bool replaced = group->primary != group->writes_held_primary;
+  DatabaseState* primary = FindDatabase(group->primary);
+  if (replaced && primary != nullptr) {
+    RequestStatus(now, primary, /*beyond_limit=*/false);
+  }
 }
 
 /// Whether writes are refused because replicas receive no commits.
--- a/src/libcore/session/proxy_impl.h
+++ b/src/libcore/session/proxy_impl.h
@@ -224,6 +224,11 @@
   // Commit confirmation (proxy_confirming.cc).
   std::vector<std::string> ReplicasOf(const Group& group,
                                       const std::string& primary) const;
+  static bool AwaitsPromotion(TimePoint now, const Group& group);
+  static bool IsReplaced(TimePoint now, const Group& group,
+                         const std::string& primary, uint64_t term);
+  static std::string SuccessorOf(TimePoint now, const Group& group,
+                                 const std::string& primary);
   bool IsConfirmed(TimePoint now, const Group& group,
                    const LogPosition& position,
                    const std::string& committed_by) const;
--- a/src/libcore/session/proxy_leadership.cc
+++ b/src/libcore/session/proxy_leadership.cc
@@ -244,8 +244,7 @@
 
 void Proxy::Impl::MaintainLeadership(TimePoint now, Group* group) {
   const bool recently_used = now - group->last_used_at < kGroupIdleTimeout;
-  const bool awaits_promotion =
-      !group->expected_primary.empty() && now < group->expected_until;
+  const bool awaits_promotion = AwaitsPromotion(now, *group);
   DatabaseState* primary = FindDatabase(group->primary);
   // A successor is about to be promoted and the primary does not respond:
   // statements wait for the successor. The announcement remains for a while
--- a/testsuite/session_proxy/proxy_test.cc
+++ b/testsuite/session_proxy/proxy_test.cc
@@ -163,6 +163,29 @@
   EXPECT_EQ(Execute(0, 2, StatementKind::kCommit, "COMMIT"), ErrorCode::kNone);
 }
 
+// A replica has received a commit but the other one, which lacks it, is
+// promoted. The new primary accepts a begin before it reports its term. What
+// the first replica received no longer counts: the promotion discarded it.
+TEST_F(ProxyTest, AcknowledgesNoCommitThatTheNewPrimaryLacks) {
+  CreateInstances(1);
+  StartSession(0, 1, "primary");
+  StartSession(0, 2, "primary");
+  EXPECT_EQ(Write(0, 1), ErrorCode::kNone);
+  RunFor(50);
+  cluster_.database("db-c").detached = true;
+  cluster_.database("db-c").extra_latency = milliseconds(600);
+  hosts_[0]->proxy()->ExpectPrimary(clock_.now(), "group", "db-c");
+  Send(0, 1, StatementKind::kWrite, "WRITE k v");
+  RunFor(200);
+  ASSERT_EQ(replies_.count(1), 0U);
+  cluster_.Promote("db-c");
+  hosts_[0]->proxy()->OnRoster(clock_.now(), TestRoster(cluster_));
+  EXPECT_EQ(Execute(0, 2, StatementKind::kBegin, "BEGIN"), ErrorCode::kNone);
+  RunFor(1200);
+  ASSERT_EQ(replies_.count(1), 1U);
+  EXPECT_EQ(replies_[1].error, ErrorCode::kInDoubt);
+}
+
 // Both replicas are lost permanently while writes are refused for lack of a
 // confirming replica. With no replica left to promote, a commit on the primary
 // is sufficient; the group must not refuse writes forever.
