A promotion is announced with its order, not with the answer

Callers lost commits that were acknowledged between an order and its effect when the answer to the order was lost.

Cause: instances were told of a promotion once the order was answered. Without an answer they went on to confirm commits by any replica, and the promotion discarded what the chosen one lacked.

Change: the announcement goes out with the order and is withdrawn when the order was rejected without effect. A fenced order is not withdrawn: the announcement in the store may be the newer holder's.

Tests: AnnouncesAnOrderBeforeItsAnswer and WithdrawsTheAnnouncementOfARejectedOrder in failover_coordinator; the first failed before.

--- a/src/include/ryefold/core/failover/coordinator.h
+++ b/src/include/ryefold/core/failover/coordinator.h
@@ -42,7 +42,8 @@
   virtual ~CoordinatorPort() = default;
   /// Requests the status of all databases of the group.
   virtual void Probe(const std::string& group) = 0;
-  /// Notifies the other instances that `database` becomes the primary.
+  /// Notifies all instances that `database` becomes the primary; an empty id
+  /// withdraws the last notification.
   virtual void Announce(const std::string& group,
                         const std::string& database) = 0;
   /// Discards the current fencing token and requests a higher one.
--- a/src/include/ryefold/core/session/proxy.h
+++ b/src/include/ryefold/core/session/proxy.h
@@ -148,8 +148,9 @@
 
   /// Requests the status of every database of the group.
   void ProbeGroup(TimePoint now, const std::string& group);
-  /// Announces that `database` is about to be promoted. A hint: statements wait
-  /// for the new primary instead of being refused.
+  /// Announces that `database` is about to be promoted, or that no database is
+  /// if the id is empty. Statements wait for the new primary instead of being
+  /// refused, and only what it has received confirms commits.
   void ExpectPrimary(TimePoint now, const std::string& group,
                      const std::string& database);
 
--- a/src/libcore/failover/coordinator.cc
+++ b/src/libcore/failover/coordinator.cc
@@ -370,6 +370,9 @@
   state->promotion_deadline = now + timing_.promotion_timeout;
   state->ordered_database = candidate.id;
   authority_->Promote(group.group, candidate.id, token);
+  // Announced before the answer, which may be lost although the order takes
+  // effect: meanwhile only what the candidate receives may be acknowledged.
+  port_->Announce(group.group, candidate.id);
 }
 
 void Coordinator::PromotionAnswered(TimePoint now, const std::string& group,
@@ -384,10 +387,10 @@
       .Add("outcome", static_cast<uint64_t>(outcome));
   switch (outcome) {
     case PromotionOutcome::kAccepted:
-      port_->Announce(group, state.ordered_database);
       break;
     case PromotionOutcome::kNotRunning:
     case PromotionOutcome::kNotExecuted:
+      port_->Announce(group, "");
       state.promotion_deadline = TimePoint();
       state.next_probe_at = now;
       state.no_primary_since =
--- a/testsuite/failover_coordinator/coordinator_test.cc
+++ b/testsuite/failover_coordinator/coordinator_test.cc
@@ -364,5 +364,27 @@
   EXPECT_EQ(orders_[0].database, "b");
 }
 
+// The order takes effect but its answer is lost. If the instances were not
+// notified before, they would acknowledge commits by another replica, and the
+// promotion would discard them.
+TEST_F(CoordinatorTest, AnnouncesAnOrderBeforeItsAnswer) {
+  View(0).refusals = 5;
+  Run(0, 200);
+  ASSERT_EQ(orders_.size(), 1U);
+  EXPECT_EQ(announced_, orders_[0].database);
+}
+
+// The rejected order has no effect. Until the announcement is withdrawn,
+// commits of the present primary would have to be confirmed by a database that
+// is not running.
+TEST_F(CoordinatorTest, WithdrawsTheAnnouncementOfARejectedOrder) {
+  View(0).draining = true;
+  Run(0, 200);
+  ASSERT_EQ(orders_.size(), 1U);
+  coordinator_.PromotionAnswered(At(250), "group", 7,
+                                 PromotionOutcome::kNotRunning);
+  EXPECT_EQ(announced_, "");
+}
+
 }  // namespace
 }  // namespace ryefold::core::failover
