A promotion waits for a silent replica that is known to have received more

Callers lost acknowledged commits when the primary failed, the replica with the newest entries reported them, and then stopped answering: the other was promoted. The same happened when that replica answered again just before its status arrived.

Hypotheses: (1) the silent replica was never read; (2) it was read and left out of the comparison; (3) its status was not waited for.

Change: a replica that reported more is waited for whether the primary lives or not, a leaving one only while the primary lives; the limit for missing statuses runs from when nothing else is waited for.

Tests: WaitsForAReplicaThatReportedMoreAfterTheFailure and WaitsForTheStatusOfAReplicaThatAnswersAgain in failover_coordinator, both failed before.

--- a/src/include/ryefold/core/failover/coordinator.h
+++ b/src/include/ryefold/core/failover/coordinator.h
@@ -116,6 +116,9 @@
     TimePoint suspected_since;
     /// When a promotion became necessary; epoch while none is needed.
     TimePoint needed_since;
+    /// Since when the promotion waits for nothing but statuses; epoch while it
+    /// does not.
+    TimePoint status_awaited_since;
     /// Newest position received by any replica.
     LogPosition newest_received;
     /// When `newest_received` stopped advancing behind the primary's log; epoch
@@ -157,7 +160,7 @@
                                                const GroupState& state) const;
   /// Returns why the promotion has to wait; empty if it does not.
   std::string DeferralReason(TimePoint now, const session::GroupView& group,
-                             const GroupState& state,
+                             GroupState* group_state,
                              const session::DatabaseView* candidate) const;
   static std::string DescribeDatabases(TimePoint now,
                                        const session::GroupView& group,
--- a/src/libcore/failover/coordinator.cc
+++ b/src/libcore/failover/coordinator.cc
@@ -1,6 +1,7 @@
 #include "ryefold/core/failover/coordinator.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace ryefold::core::failover {
 namespace {
@@ -197,23 +198,25 @@
       });
 }
 
-/// Returns whether the primary is alive and another replica has received
-/// entries that the candidate lacks. These may include acknowledged commits,
-/// which the promotion would discard. While the primary is alive only writes
-/// wait, so the promotion waits until that replica answers or is unlisted.
+/// Returns whether another replica, which cannot be promoted at present, has
+/// received entries that the candidate lacks. These may include acknowledged
+/// commits, which the promotion would discard, so it waits until that replica
+/// answers or is unlisted. A leaving replica never becomes a candidate; it
+/// counts only while the primary is alive, so that nothing but writes has to
+/// wait.
 bool Coordinator::WouldDiscardCommits(const GroupView& group,
                                       const GroupState& state,
                                       const DatabaseView& candidate) {
   const DatabaseView* primary = FindPrimary(group);
   const bool primary_alive = primary != nullptr && primary->responsive &&
                              primary->refusals == 0 && !primary->draining;
-  if (!primary_alive) return false;
   const auto candidate_position = ReceivedPosition(state, candidate);
   return std::any_of(
       group.databases.begin(), group.databases.end(),
-      [&group, &state, &candidate_position](const DatabaseView& database) {
-        return database.id != group.primary &&
-               ReceivedPosition(state, database) > candidate_position;
+      [primary_alive, &state, &candidate_position](const DatabaseView& each) {
+        const bool counts =
+            each.id != state.primary && (primary_alive || !each.draining);
+        return counts && ReceivedPosition(state, each) > candidate_position;
       });
 }
 
@@ -260,8 +263,11 @@
 }
 
 std::string Coordinator::DeferralReason(TimePoint now, const GroupView& group,
-                                        const GroupState& state,
+                                        GroupState* group_state,
                                         const DatabaseView* candidate) const {
+  const GroupState& state = *group_state;
+  const TimePoint status_awaited_since =
+      std::exchange(group_state->status_awaited_since, TimePoint());
   if (candidate == nullptr) return "no replica with a current position";
   if (WouldDiscardCommits(group, state, *candidate)) {
     return "another replica has received more";
@@ -272,10 +278,12 @@
   if (MayLackUnreadCommits(now, group, state, *candidate)) {
     return "a replica is unreachable";
   }
-  const bool may_wait = now - state.needed_since < timing_.status_wait;
-  if (may_wait && HasStaleReplicaStatus(now, group, state))
-    return "stale status";
-  return "";
+  if (!HasStaleReplicaStatus(now, group, state)) return "";
+  group_state->status_awaited_since =
+      status_awaited_since == TimePoint() ? now : status_awaited_since;
+  const bool may_wait =
+      now - group_state->status_awaited_since < timing_.status_wait;
+  return may_wait ? "stale status" : "";
 }
 
 /// Records since when the primary seems to fail. The interval of a healthy
@@ -323,12 +331,13 @@
     const std::string cause = PromotionReason(now, group, &state);
     if (cause.empty()) {
       state.needed_since = TimePoint();
+      state.status_awaited_since = TimePoint();
       state.deferral.clear();
       continue;
     }
     if (state.needed_since == TimePoint()) state.needed_since = now;
     const DatabaseView* candidate = ChooseCandidate(now, group, state);
-    const std::string deferral = DeferralReason(now, group, state, candidate);
+    const std::string deferral = DeferralReason(now, group, &state, candidate);
     if (deferral.empty()) {
       OrderPromotion(now, group, *candidate, cause, *token, &state);
       continue;
--- a/testsuite/failover_coordinator/coordinator_test.cc
+++ b/testsuite/failover_coordinator/coordinator_test.cc
@@ -386,5 +386,41 @@
   EXPECT_EQ(announced_, "");
 }
 
+// The primary fails, and the replica with the newest commits reports them but is
+// unreachable from then on. The other replica must not be promoted instead.
+TEST_F(CoordinatorTest, WaitsForAReplicaThatReportedMoreAfterTheFailure) {
+  View(2).status.received = {1, 170};
+  Run(0, 1000);
+  unreachable_ = {"a"};
+  View(0).refusals = 1;
+  Run(1100, 1200);
+  unreachable_ = {"a", "c"};
+  View(0).refusals = 5;
+  View(2).responsive = false;
+  Run(1300, 4000);
+  EXPECT_TRUE(orders_.empty());
+}
+
+// A replica answers again after a while, and its status follows a moment later.
+// The time spent waiting for the replica to answer must not shorten the wait for
+// its status.
+TEST_F(CoordinatorTest, WaitsForTheStatusOfAReplicaThatAnswersAgain) {
+  Run(0, 1000);
+  unreachable_ = {"a", "c"};
+  View(0).refusals = 5;
+  View(2).responsive = false;
+  Run(1100, 3000);
+  unreachable_ = {"a"};
+  busy_ = {"c"};
+  View(2).responsive = true;
+  Run(3100, 3300);
+  EXPECT_TRUE(orders_.empty());
+  busy_.clear();
+  View(2).status.received = {1, 170};
+  Run(3400, 3500);
+  ASSERT_EQ(orders_.size(), 1U);
+  EXPECT_EQ(orders_[0].database, "c");
+}
+
 }  // namespace
 }  // namespace ryefold::core::failover
