Replicas of a slow primary are read after its failure, too

Callers lost acknowledged commits when a slow primary failed: a replica that nobody reached counted as read by a status from before the failure.

Cause: statuses have to be requested since the primary seems to fail, and a database with a high usual latency is reported as suspected later than the timeout at which it is replaced. Nothing was demanded of the statuses then.

Hypotheses: (1) the replica was reached; (2) it counted as read without a recent status.

Change: the primary seems to fail after half of its timeout without an answer, whatever its usual latency.

Test: ReadsReplicasAfterTheFailureOfASlowPrimary in failover_coordinator failed before.

--- a/src/include/ryefold/core/failover/coordinator.h
+++ b/src/include/ryefold/core/failover/coordinator.h
@@ -131,6 +131,7 @@
     /// Why a necessary promotion was deferred last; empty if it was not.
     std::string deferral;
   };
+  bool SeemsToFail(TimePoint now, const session::DatabaseView* primary) const;
   /// Returns why the group needs a new primary; empty if it does not.
   std::string PromotionReason(TimePoint now, const session::GroupView& group,
                               GroupState* state) const;
--- a/src/libcore/failover/coordinator.cc
+++ b/src/libcore/failover/coordinator.cc
@@ -99,6 +99,19 @@
   return text;
 }
 
+/// Returns whether the primary may have failed. A slow database is not reported
+/// as suspected before the timeout, so half of it counts here.
+bool Coordinator::SeemsToFail(TimePoint now,
+                              const DatabaseView* primary) const {
+  if (primary == nullptr || primary->draining || primary->refusals > 0) {
+    return true;
+  }
+  const bool silent =
+      primary->unanswered_since != TimePoint() &&
+      now - primary->unanswered_since >= timing_.primary_timeout / 2;
+  return silent || !primary->responsive;
+}
+
 std::string Coordinator::PromotionReason(TimePoint now, const GroupView& group,
                                          GroupState* state) const {
   const DatabaseView* primary = FindPrimary(group);
@@ -323,8 +336,7 @@
     if (promoting && group.primary != state.ordered_database) continue;
     if (promoting) state.promotion_deadline = TimePoint();
     UpdateReplicationStall(now, group, &state);
-    const bool failing = primary == nullptr || primary->draining ||
-                         !primary->responsive || primary->refusals > 0;
+    const bool failing = SeemsToFail(now, primary);
     UpdateSuspicion(now, failing, &state);
     const bool suspected = failing || state.stalled_since != TimePoint();
     ProbeIfDue(now, group, &state, suspected);
--- a/testsuite/failover_coordinator/coordinator_test.cc
+++ b/testsuite/failover_coordinator/coordinator_test.cc
@@ -422,5 +422,19 @@
   EXPECT_EQ(orders_[0].database, "c");
 }
 
+// A new holder of the duty finds a primary that has not answered for the timeout
+// but is not suspected yet, because it is slow. An unreachable replica whose
+// status predates that must not count as read.
+TEST_F(CoordinatorTest, ReadsReplicasAfterTheFailureOfASlowPrimary) {
+  group_.primary = "b";
+  View(0).status_requested_at = At(-900);
+  View(0).responsive = false;
+  View(0).status.received = {1, 80};
+  View(1).unanswered_since = At(-800);
+  unreachable_ = {"a", "b"};
+  Run(0, 2000);
+  EXPECT_TRUE(orders_.empty());
+}
+
 }  // namespace
 }  // namespace ryefold::core::failover
