A commit stays marked once its primary was to be replaced

Callers lost a commit that was made before a promotion when the primary that made it was promoted again at once.

Hypotheses: (1) a position reported before the promotion in between; (2) a position of the new term.

Change: each unconfirmed commit remembers that its primary was replaced or was to be; commits are looked at before a new announcement takes the place of the last one.

--- a/src/libcore/session/proxy_confirming.cc
+++ b/src/libcore/session/proxy_confirming.cc
@@ -69,9 +69,13 @@
   return next == primary ? "" : next;
 }
 
+/// Returns whether a commit of `committed_by` outlives the loss of its primary.
+/// `replaced` tells whether that primary has been replaced since or is about to
+/// be.
 bool Proxy::Impl::IsConfirmed(TimePoint now, const Group& group,
                               const LogPosition& position,
-                              const std::string& committed_by) const {
+                              const std::string& committed_by,
+                              bool replaced) const {
   if (group.limits.confirms_commits) return true;
   const std::vector<std::string> replicas = ReplicasOf(group, committed_by);
   // No database can be promoted, so no commit can be discarded: the primary has
@@ -79,7 +83,6 @@
   if (replicas.empty()) return true;
   // A promotion discards commits that the new primary lacks, even if other
   // replicas have received them.
-  const bool replaced = IsReplaced(now, group, committed_by, position.term);
   const std::string successor = SuccessorOf(now, group, committed_by);
   std::vector<LogPosition> received;
   for (const std::string& id : replicas) {
@@ -97,7 +100,9 @@
 void Proxy::Impl::ConfirmCommit(TimePoint now, Request* request, Reply reply) {
   Group* group = GroupOf(*request);
   if (group == nullptr || !reply.position.has_value() ||
-      IsConfirmed(now, *group, *reply.position, request->database)) {
+      IsConfirmed(
+          now, *group, *reply.position, request->database,
+          IsReplaced(now, *group, request->database, reply.position->term))) {
     AcknowledgeCommit(now, request, std::move(reply));
     return;
   }
@@ -225,7 +230,11 @@
       continue;
     }
     const LogPosition position = *request->unconfirmed_reply->position;
-    if (IsConfirmed(now, *group, position, request->database)) {
+    request->primary_replaced =
+        request->primary_replaced ||
+        IsReplaced(now, *group, request->database, position.term);
+    if (IsConfirmed(now, *group, position, request->database,
+                    request->primary_replaced)) {
       AcknowledgeCommit(now, request, std::move(*request->unconfirmed_reply));
     } else if (group->term > position.term) {
       // The primary was replaced; whether its successor had received the commit
@@ -234,9 +243,12 @@
     }
   }
   if (group->writes_held_position == LogPosition()) return;
-  const bool resolved = group->term > group->writes_held_position.term ||
-                        IsConfirmed(now, *group, group->writes_held_position,
-                                    group->writes_held_primary);
+  const bool resolved =
+      group->term > group->writes_held_position.term ||
+      IsConfirmed(now, *group, group->writes_held_position,
+                  group->writes_held_primary,
+                  IsReplaced(now, *group, group->writes_held_primary,
+                             group->writes_held_position.term));
   if (!resolved) return;
   Event(events_, EventPriority::kState, "writes_resumed")
       .Add("group", group->name)
--- a/src/libcore/session/proxy_impl.h
+++ b/src/libcore/session/proxy_impl.h
@@ -230,8 +230,8 @@
   static std::string SuccessorOf(TimePoint now, const Group& group,
                                  const std::string& primary);
   bool IsConfirmed(TimePoint now, const Group& group,
-                   const LogPosition& position,
-                   const std::string& committed_by) const;
+                   const LogPosition& position, const std::string& committed_by,
+                   bool replaced) const;
   void ConfirmCommit(TimePoint now, Request* request, Reply reply);
   void AcknowledgeCommit(TimePoint now, Request* request, Reply reply);
   void RequestStatus(TimePoint now, DatabaseState* database, bool beyond_limit);
--- a/src/libcore/session/proxy_leadership.cc
+++ b/src/libcore/session/proxy_leadership.cc
@@ -195,9 +195,13 @@
 
 void Proxy::Impl::ExpectPrimary(TimePoint now, Group* group,
                                 const std::string& database) {
+  // Before the previous announcement and refusals are forgotten, commits of the
+  // primaries that they replaced are marked.
+  SettleCommits(now, group);
   group->expected_primary = database;
   group->expected_until = now + kPromotionTimeout;
   group->deposed.erase(database);
+  SettleCommits(now, group);
 }
 
 /// Returns the age of the newest mark at which leadership is probed.
--- a/src/libcore/session/state.h
+++ b/src/libcore/session/state.h
@@ -144,6 +144,9 @@
   /// yet, and its time of arrival.
   std::optional<Reply> unconfirmed_reply;
   TimePoint committed_at;
+  /// The primary that made the commit has been replaced since, or was about to
+  /// be; it may have become primary again.
+  bool primary_replaced = false;
   /// Reply to a read that is held back until the database is proved to have led
   /// at `leadership_time` under `leadership_term`, and the time since which it
   /// is held.
--- a/testsuite/session_proxy/proxy_test.cc
+++ b/testsuite/session_proxy/proxy_test.cc
@@ -186,6 +186,25 @@
   EXPECT_EQ(replies_[1].error, ErrorCode::kInDoubt);
 }
 
+// The same when the old primary is promoted again soon after: its log was
+// rolled back by the promotion in between.
+TEST_F(ProxyTest, AcknowledgesNoCommitThatAPromotionInBetweenDiscarded) {
+  CreateInstances(1);
+  StartSession(0, 1, "primary");
+  EXPECT_EQ(Write(0, 1), ErrorCode::kNone);
+  RunFor(50);
+  cluster_.database("db-b").detached = true;
+  hosts_[0]->proxy()->ExpectPrimary(clock_.now(), "group", "db-b");
+  Send(0, 1, StatementKind::kWrite, "WRITE k v");
+  RunFor(200);
+  ASSERT_EQ(replies_.count(1), 0U);
+  cluster_.Promote("db-b");
+  hosts_[0]->proxy()->ExpectPrimary(clock_.now(), "group", "db-a");
+  RunFor(1200);
+  ASSERT_EQ(replies_.count(1), 1U);
+  EXPECT_EQ(replies_[1].error, ErrorCode::kInDoubt);
+}
+
 // Both replicas are lost permanently while writes are refused for lack of a
 // confirming replica. With no replica left to promote, a commit on the primary
 // is sufficient; the group must not refuse writes forever.
