An announced promotion counts until its term is reported

Callers lost commits when a replaced primary that stayed active was promoted again: commits of the primary in between were acknowledged though the order was announced.

Cause: Proxy::Impl::RecordClaim took any call that the announced database accepted for its promotion. A replaced primary accepts calls under its old term, and an instance that has not heard of the newer term cannot tell.

Hypotheses: (1) the instance never had the announcement; (2) it was cleared too early.

Test: AwaitsAPromotionUntilItsTermIsReported in session_proxy failed before.

--- a/src/libcore/session/proxy_leadership.cc
+++ b/src/libcore/session/proxy_leadership.cc
@@ -67,7 +67,11 @@
   if (newer) SettleCommits(now, group);
   group->last_claim_at = std::max(group->last_claim_at, sent_at);
   group->deposed.erase(database);
-  if (group->expected_primary == database) group->expected_primary.clear();
+  // A replaced primary that is promoted again may still accept calls under its
+  // old term, so only a newer term shows that the promotion took effect.
+  if (newer && group->expected_primary == database) {
+    group->expected_primary.clear();
+  }
   group->proof.RecordClaim(database, term, sent_at, position);
   SettleProofs(now, group);
   return true;
--- a/testsuite/session_proxy/proxy_test.cc
+++ b/testsuite/session_proxy/proxy_test.cc
@@ -205,6 +205,28 @@
   EXPECT_EQ(replies_[1].error, ErrorCode::kInDoubt);
 }
 
+// A replaced primary that still accepts calls is about to be promoted again,
+// and this instance has not heard of the primary in between. A begin that the
+// old one accepts does not show that the promotion took effect: commits of the
+// one in between are still going to be discarded.
+TEST_F(ProxyTest, AwaitsAPromotionUntilItsTermIsReported) {
+  CreateInstances(1);
+  StartSession(0, 1, "primary");
+  StartSession(0, 2, "primary");
+  EXPECT_EQ(Write(0, 1), ErrorCode::kNone);
+  RunFor(50);
+  cluster_.KeepReplacedActive();
+  cluster_.Partition("db-a", "db-b");
+  cluster_.Partition("db-a", "db-c");
+  cluster_.Promote("db-b");
+  hosts_[0]->proxy()->ExpectPrimary(clock_.now(), "group", "db-a");
+  EXPECT_EQ(Execute(0, 2, StatementKind::kBegin, "BEGIN"), ErrorCode::kNone);
+  hosts_[0]->proxy()->ProbeGroup(clock_.now(), "group");
+  RunFor(200);
+  ASSERT_EQ(hosts_[0]->proxy()->groups(clock_.now()).front().primary, "db-b");
+  EXPECT_EQ(Write(0, 1), ErrorCode::kInDoubt);
+}
+
 // Both replicas are lost permanently while writes are refused for lack of a
 // confirming replica. With no replica left to promote, a commit on the primary
 // is sufficient; the group must not refuse writes forever.
