Announcements of promotions that never took effect are withdrawn

Follows from announcing with the order: one that was never executed and whose answer was lost would stay in the store. Each instance that started later would have waited for the announced database for 2.5 s and told the commits of that time as in doubt.

Change: the holder of the duty withdraws an announcement that has not taken effect within 2.5 s while the group needs no promotion, whoever made it.

Tests: WithdrawsAnAnnouncementWithoutEffect and KeepsTheAnnouncementOfThePrimary in failover_coordinator.

--- a/src/include/ryefold/core/failover/coordinator.h
+++ b/src/include/ryefold/core/failover/coordinator.h
@@ -100,6 +100,12 @@
   void PromotionAnswered(TimePoint now, const std::string& group,
                          uint64_t token, PromotionOutcome outcome);
 
+  /// Records an announcement of any instance as read from the store. It is
+  /// withdrawn if the promotion has not taken effect in time: instances that
+  /// start later would wait for it.
+  void AnnouncementRead(TimePoint now, const std::string& group,
+                        const std::string& database);
+
  private:
   struct GroupState {
     TimePoint next_probe_at;
@@ -132,6 +138,13 @@
     std::string deferral;
   };
   bool SeemsToFail(TimePoint now, const session::DatabaseView* primary) const;
+  struct Announcement {
+    std::string database;
+    /// When it is withdrawn unless the database has become primary.
+    TimePoint withdrawal_at;
+  };
+  void WithdrawOutdatedAnnouncement(TimePoint now,
+                                    const session::GroupView& group);
   /// Returns why the group needs a new primary; empty if it does not.
   std::string PromotionReason(TimePoint now, const session::GroupView& group,
                               GroupState* state) const;
@@ -178,6 +191,8 @@
   CoordinatorPort* port_;
   EventSink* events_;
   std::map<std::string, GroupState> groups_;
+  /// Last announcement of each group; kept while the duty is elsewhere.
+  std::map<std::string, Announcement> announcements_;
 };
 
 }  // namespace ryefold::core::failover
--- a/src/libcore/failover/coordinator.cc
+++ b/src/libcore/failover/coordinator.cc
@@ -345,6 +345,7 @@
       state.needed_since = TimePoint();
       state.status_awaited_since = TimePoint();
       state.deferral.clear();
+      WithdrawOutdatedAnnouncement(now, group);
       continue;
     }
     if (state.needed_since == TimePoint()) state.needed_since = now;
@@ -367,6 +368,30 @@
   }
 }
 
+void Coordinator::AnnouncementRead(TimePoint now, const std::string& group,
+                                   const std::string& database) {
+  if (database.empty()) {
+    announcements_.erase(group);
+  } else {
+    announcements_[group] = {database, now + timing_.promotion_timeout};
+  }
+}
+
+void Coordinator::WithdrawOutdatedAnnouncement(TimePoint now,
+                                               const GroupView& group) {
+  const auto found = announcements_.find(group.group);
+  if (found == announcements_.end()) return;
+  if (group.primary.empty() || now < found->second.withdrawal_at) return;
+  if (group.primary != found->second.database) {
+    Event(events_, EventPriority::kState, "promotion_withdrawn")
+        .Add("group", group.group)
+        .Add("database", found->second.database)
+        .Add("primary", group.primary);
+    port_->Announce(group.group, "");
+  }
+  announcements_.erase(found);
+}
+
 void Coordinator::OrderPromotion(TimePoint now, const GroupView& group,
                                  const DatabaseView& candidate,
                                  const std::string& cause, uint64_t token,
--- a/src/ryefoldd/gateway_failover.cc
+++ b/src/ryefoldd/gateway_failover.cc
@@ -54,6 +54,7 @@
     if (!order.has_value()) continue;
     surroundings_.proxy->ExpectPrimary(BootTime(), order->group,
                                        order->database);
+    coordinator_.AnnouncementRead(BootTime(), order->group, order->database);
   }
 }
 
--- a/testsuite/failover_coordinator/coordinator_test.cc
+++ b/testsuite/failover_coordinator/coordinator_test.cc
@@ -386,8 +386,8 @@
   EXPECT_EQ(announced_, "");
 }
 
-// The primary fails, and the replica with the newest commits reports them but is
-// unreachable from then on. The other replica must not be promoted instead.
+// The primary fails, and the replica with the newest commits reports them but
+// is unreachable from then on. The other replica must not be promoted instead.
 TEST_F(CoordinatorTest, WaitsForAReplicaThatReportedMoreAfterTheFailure) {
   View(2).status.received = {1, 170};
   Run(0, 1000);
@@ -402,8 +402,8 @@
 }
 
 // A replica answers again after a while, and its status follows a moment later.
-// The time spent waiting for the replica to answer must not shorten the wait for
-// its status.
+// The time spent waiting for the replica to answer must not shorten the wait
+// for its status.
 TEST_F(CoordinatorTest, WaitsForTheStatusOfAReplicaThatAnswersAgain) {
   Run(0, 1000);
   unreachable_ = {"a", "c"};
@@ -422,9 +422,9 @@
   EXPECT_EQ(orders_[0].database, "c");
 }
 
-// A new holder of the duty finds a primary that has not answered for the timeout
-// but is not suspected yet, because it is slow. An unreachable replica whose
-// status predates that must not count as read.
+// A new holder of the duty finds a primary that has not answered for the
+// timeout but is not suspected yet, because it is slow. An unreachable replica
+// whose status predates that must not count as read.
 TEST_F(CoordinatorTest, ReadsReplicasAfterTheFailureOfASlowPrimary) {
   group_.primary = "b";
   View(0).status_requested_at = At(-900);
@@ -436,5 +436,24 @@
   EXPECT_TRUE(orders_.empty());
 }
 
+// An order without an answer was never executed, and its announcement stays in
+// the store. Instances that start later would wait for the announced database
+// and report commits as in doubt meanwhile.
+TEST_F(CoordinatorTest, WithdrawsAnAnnouncementWithoutEffect) {
+  announced_ = "c";
+  coordinator_.AnnouncementRead(At(0), "group", "c");
+  Run(0, 2000);
+  EXPECT_EQ(announced_, "c");
+  Run(2100, 2700);
+  EXPECT_EQ(announced_, "");
+}
+
+TEST_F(CoordinatorTest, KeepsTheAnnouncementOfThePrimary) {
+  announced_ = "a";
+  coordinator_.AnnouncementRead(At(0), "group", "a");
+  Run(0, 5000);
+  EXPECT_EQ(announced_, "a");
+}
+
 }  // namespace
 }  // namespace ryefold::core::failover
