A commit is in doubt once its primary's successor is replaced, too

Callers lost a commit when two promotions followed each other within a second and the second named the replica that had received the commit before the first discarded it.

Cause: only the successor's position confirms a commit of a replaced primary, but the next successor's position was one that it had reported before the promotion in between.

Hypotheses: (1) another replica's position; (2) the second successor's old position.

Change: a commit remembers the first successor; when another takes its place the outcome can no longer be known and is told so.

Test: AcknowledgesNoCommitByAnOldReportOfTheNextPrimary in session_proxy failed before.

--- a/src/libcore/session/proxy_confirming.cc
+++ b/src/libcore/session/proxy_confirming.cc
@@ -230,9 +230,17 @@
       continue;
     }
     const LogPosition position = *request->unconfirmed_reply->position;
-    request->primary_replaced =
-        request->primary_replaced ||
-        IsReplaced(now, *group, request->database, position.term);
+    if (IsReplaced(now, *group, request->database, position.term)) {
+      request->primary_replaced = true;
+    }
+    const std::string successor = SuccessorOf(now, *group, request->database);
+    if (request->successor.empty()) request->successor = successor;
+    // What the next successor reported before may have been discarded by the
+    // first one.
+    if (successor != request->successor) {
+      FinishInDoubt(now, request, "primary replaced again");
+      continue;
+    }
     if (IsConfirmed(now, *group, position, request->database,
                     request->primary_replaced)) {
       AcknowledgeCommit(now, request, std::move(*request->unconfirmed_reply));
--- a/src/libcore/session/state.h
+++ b/src/libcore/session/state.h
@@ -147,6 +147,8 @@
   /// The primary that made the commit has been replaced since, or was about to
   /// be; it may have become primary again.
   bool primary_replaced = false;
+  /// First database known to replace that primary; empty while none is.
+  std::string successor;
   /// Reply to a read that is held back until the database is proved to have led
   /// at `leadership_time` under `leadership_term`, and the time since which it
   /// is held.
--- a/testsuite/session_proxy/proxy_test.cc
+++ b/testsuite/session_proxy/proxy_test.cc
@@ -205,6 +205,25 @@
   EXPECT_EQ(replies_[1].error, ErrorCode::kInDoubt);
 }
 
+// The same when the replica that had received the commit is promoted next: what
+// it reported before the promotion in between does not count.
+TEST_F(ProxyTest, AcknowledgesNoCommitByAnOldReportOfTheNextPrimary) {
+  CreateInstances(1);
+  StartSession(0, 1, "primary");
+  EXPECT_EQ(Write(0, 1), ErrorCode::kNone);
+  RunFor(50);
+  cluster_.database("db-b").detached = true;
+  hosts_[0]->proxy()->ExpectPrimary(clock_.now(), "group", "db-b");
+  Send(0, 1, StatementKind::kWrite, "WRITE k v");
+  RunFor(200);
+  ASSERT_EQ(replies_.count(1), 0U);
+  cluster_.Promote("db-b");
+  hosts_[0]->proxy()->ExpectPrimary(clock_.now(), "group", "db-c");
+  RunFor(1200);
+  ASSERT_EQ(replies_.count(1), 1U);
+  EXPECT_EQ(replies_[1].error, ErrorCode::kInDoubt);
+}
+
 // A replaced primary that still accepts calls is about to be promoted again,
 // and this instance has not heard of the primary in between. A begin that the
 // old one accepts does not show that the promotion took effect: commits of the
