Soak runs have an address of their own and log their faults

Hypotheses: (1) both runs choose the same ports; (2) shared state of the stand-ins; (3) load. The instances' settings of both runs name the same ports: they are drawn from the seed and probed before the instances start, and a port is free while its instance restarts.

Change: each run uses a loopback address derived from its process id. Draws, checks, bounds and seeds are unchanged. faults.log has a line for each fault with what callers had by then, without which too few writes could not be traced.

--- a/testsuite/soak/instance_process.cc
+++ b/testsuite/soak/instance_process.cc
@@ -11,21 +11,27 @@
 namespace ryefold::soak {
 namespace {
 
-std::string LoopbackAddressJson(uint16_t port) {
-  return "\"127.0.0.1:" + std::to_string(port) + "\"";
+/// Where the stand-ins of a run listen, on ports that the kernel chooses.
+constexpr const char* kLoopback = "127.0.0.1";
+
+std::string AddressJson(const std::string& host, uint16_t port) {
+  return "\"" + host + ":" + std::to_string(port) + "\"";
 }
 
 void WriteSettings(const InstanceConfig& config, const std::string& path) {
-  std::ofstream(path)
-      << "{\n  \"name\": \"" << config.name << "\",\n  \"failure_domain\": \""
-      << config.failure_domain << "\",\n  \"session_address\": "
-      << LoopbackAddressJson(config.session_port)
-      << ",\n  \"ready_address\": " << LoopbackAddressJson(config.ready_port)
-      << ",\n  \"peer_address\": " << LoopbackAddressJson(config.peer_port)
-      << ",\n  \"store_address\": " << LoopbackAddressJson(config.store_port)
-      << ",\n  \"promotion_address\": "
-      << LoopbackAddressJson(config.promotion_port)
-      << ",\n  \"stop_grace_s\": 2\n}\n";
+  std::ofstream(path) << "{\n  \"name\": \"" << config.name
+                      << "\",\n  \"failure_domain\": \""
+                      << config.failure_domain << "\",\n  \"session_address\": "
+                      << AddressJson(config.host, config.session_port)
+                      << ",\n  \"ready_address\": "
+                      << AddressJson(config.host, config.ready_port)
+                      << ",\n  \"peer_address\": "
+                      << AddressJson(config.host, config.peer_port)
+                      << ",\n  \"store_address\": "
+                      << AddressJson(kLoopback, config.store_port)
+                      << ",\n  \"promotion_address\": "
+                      << AddressJson(kLoopback, config.promotion_port)
+                      << ",\n  \"stop_grace_s\": 2\n}\n";
 }
 
 }  // namespace
--- a/testsuite/soak/instance_process.h
+++ b/testsuite/soak/instance_process.h
@@ -16,6 +16,8 @@
   /// Folder for settings and logs.
   std::string folder;
   std::string failure_domain;
+  /// Loopback address of its ports, which no other run uses.
+  std::string host;
   uint16_t session_port = 0;
   uint16_t ready_port = 0;
   uint16_t peer_port = 0;
--- a/testsuite/soak/main.cc
+++ b/testsuite/soak/main.cc
@@ -9,8 +9,10 @@
 #include <gtest/gtest.h>
 #include <signal.h>
 #include <stdlib.h>
+#include <unistd.h>
 
 #include <cxxopts.hpp>
+#include <fstream>
 #include <iostream>
 #include <map>
 #include <memory>
@@ -49,6 +51,17 @@
 /// Time for recovery after the last fault.
 constexpr milliseconds kRecoveryTime{6000};
 
+/// Returns a loopback address of this process alone. An instance's port is free
+/// while the instance restarts; on a shared address, an instance of another run
+/// could take it and answer this run's callers.
+std::string OwnLoopbackAddress() {
+  constexpr uint32_t kByte = 256;
+  const auto pid = static_cast<uint32_t>(getpid());
+  return "127." + std::to_string(1 + pid / kByte / kByte) + "." +
+         std::to_string(pid / kByte % kByte) + "." +
+         std::to_string(pid % kByte);
+}
+
 struct Options {
   std::string program;
   std::string folder;
@@ -136,6 +149,7 @@
     config.folder = options_.folder;
     config.name = "i" + std::to_string(index);
     config.failure_domain = std::string(1, static_cast<char>('a' + index % 3));
+    config.host = host_;
     config.session_port = FreePort();
     config.ready_port = FreePort();
     config.peer_port = FreePort();
@@ -153,7 +167,7 @@
       wire::HttpServer probe(base_, wire::HttpLimits(),
                              [](const wire::HttpExchange&) {});
       const bool free =
-          probe.Listen("127.0.0.1:" + std::to_string(port)).empty();
+          probe.Listen(host_ + ":" + std::to_string(port)).empty();
       if (free && ports_.insert(port).second) return port;
     }
   }
@@ -201,10 +215,16 @@
     const milliseconds duration(300 + random()() % 2500);
     const auto fault = static_cast<LinkFault>(1 + random()() % 4);
     if (options_.databases_go_on && random()() % 3 == 0) {
+      LogFault("group " + database);
       InjectGroupFault(database, duration);
       return;
     }
-    switch (random()() % 11) {
+    const uint64_t kind = random()() % 11;
+    LogFault("kind=" + std::to_string(kind) + " database=" + database +
+             " instance=i" + std::to_string(instance) +
+             " link=" + std::to_string(static_cast<int>(fault)) +
+             " duration=" + std::to_string(duration.count()) + "ms");
+    switch (kind) {
       case 0:
       case 1:
         InjectLinkFault(db_links_[database].get(), fault, duration);
@@ -302,7 +322,7 @@
     const size_t instance = (id + session_attempts_++) % kInstances;
     sessions_[id] = std::make_shared<SessionLink>(
         base_,
-        "127.0.0.1:" +
+        host_ + ":" +
             std::to_string(instances_[instance]->config().session_port),
         route,
         [this, id, number](const Reply& reply) {
@@ -334,7 +354,28 @@
     if (!faults_ended_) StartCaller(id);
   }
 
+  /// Writes a line about an injected fault, with the state that callers meet.
+  void LogFault(const std::string& fault) {
+    const auto since_start = std::chrono::duration_cast<milliseconds>(
+        steady_clock::now() - started_at_);
+    fault_log_ << "ms=" << since_start.count() << " " << fault
+               << " writes=" << tally().acknowledged_writes
+               << " refused=" << tally().refused
+               << " primary=" << databases_.cluster().primary();
+    for (const char* id : {"db-a", "db-b", "db-c"}) {
+      const testsuite::FakeDatabase& database =
+          databases_.cluster().database(id);
+      fault_log_ << " " << id << "=latency:" << database.extra_latency.count()
+                 << "ms,detached:" << database.detached
+                 << ",received:" << database.log.size();
+    }
+    fault_log_ << std::endl;
+  }
+
   const Options options_;
+  const std::string host_ = OwnLoopbackAddress();
+  const steady_clock::time_point started_at_ = steady_clock::now();
+  std::ofstream fault_log_{options_.folder + "/faults.log"};
   event_base* base_;
   standins::KeyValueStandin store_;
   standins::LineDatabases databases_;
