--- a/src/include/ryefold/core/failover/coordinator.h
+++ b/src/include/ryefold/core/failover/coordinator.h
@@ -137,14 +137,12 @@
     /// Why a necessary promotion was deferred last; empty if it was not.
     std::string deferral;
   };
-  bool SeemsToFail(TimePoint now, const session::DatabaseView* primary) const;
   struct Announcement {
     std::string database;
     /// When it is withdrawn unless the database has become primary.
     TimePoint withdrawal_at;
   };
-  void WithdrawOutdatedAnnouncement(TimePoint now,
-                                    const session::GroupView& group);
+  bool SeemsToFail(TimePoint now, const session::DatabaseView* primary) const;
   /// Returns why the group needs a new primary; empty if it does not.
   std::string PromotionReason(TimePoint now, const session::GroupView& group,
                               GroupState* state) const;
@@ -183,6 +181,8 @@
                       const session::DatabaseView& candidate,
                       const std::string& cause, uint64_t token,
                       GroupState* state);
+  void WithdrawOutdatedAnnouncement(TimePoint now,
+                                    const session::GroupView& group);
   void ProbeIfDue(TimePoint now, const session::GroupView& group,
                   GroupState* state, bool suspected);
 
--- a/src/libcore/failover/coordinator.cc
+++ b/src/libcore/failover/coordinator.cc
@@ -99,8 +99,9 @@
   return text;
 }
 
-/// Returns whether the primary may have failed. A slow database is not reported
-/// as suspected before the timeout, so half of it counts here.
+/// Returns whether the primary may have failed. `responsive` allows a database
+/// with a high latency more time, possibly more than the timeout after which it
+/// is replaced, so half of that timeout without an answer counts as well.
 bool Coordinator::SeemsToFail(TimePoint now,
                               const DatabaseView* primary) const {
   if (primary == nullptr || primary->draining || primary->refusals > 0) {
@@ -214,9 +215,8 @@
 /// Returns whether another replica, which cannot be promoted at present, has
 /// received entries that the candidate lacks. These may include acknowledged
 /// commits, which the promotion would discard, so it waits until that replica
-/// answers or is unlisted. A leaving replica never becomes a candidate; it
-/// counts only while the primary is alive, so that nothing but writes has to
-/// wait.
+/// answers or is unlisted. A draining replica is never promoted. It counts only
+/// while the primary is alive: then only writes wait for the promotion.
 bool Coordinator::WouldDiscardCommits(const GroupView& group,
                                       const GroupState& state,
                                       const DatabaseView& candidate) {
@@ -235,7 +235,7 @@
 
 /// Returns whether the candidate has not heard of the present term while
 /// nothing current is known of another replica. Commits of the term are
-/// acknowledged once one replica has received them, which must be the other.
+/// acknowledged once one replica has received them, which is then the other.
 bool Coordinator::MayLackPresentTerm(const GroupView& group,
                                      const GroupState& state,
                                      const DatabaseView& candidate) {
@@ -299,9 +299,8 @@
   return may_wait ? "stale status" : "";
 }
 
-/// Records since when the primary seems to fail. The interval of a healthy
-/// group must not delay the first probe: only statuses requested from then on
-/// count.
+/// Records since when the primary seems to fail. Only statuses requested from
+/// then on count, so the group is probed at once.
 void Coordinator::UpdateSuspicion(TimePoint now, bool failing,
                                   GroupState* state) {
   if (!failing) {
