Coordinator: one group, one deferral and one reason each in a function

DeferralReason told the reason and recorded since when statuses are awaited; EvaluateGroups held the whole decision of a group.

--- a/src/include/ryefold/core/failover/coordinator.h
+++ b/src/include/ryefold/core/failover/coordinator.h
@@ -109,10 +109,11 @@
  private:
   struct GroupState {
     TimePoint next_probe_at;
-    /// Newest term reported by any database, and the last known primary.
+    /// Newest term reported by any database.
     uint64_t term = 0;
+    /// Last known primary.
     std::string primary;
-    /// When this instance noticed that either of them changed.
+    /// When this instance noticed the last change of `term` or `primary`.
     TimePoint leadership_since;
     /// The primary changed and has not reported yet which term it leads.
     bool term_unknown = false;
@@ -122,8 +123,8 @@
     TimePoint suspected_since;
     /// When a promotion became necessary; epoch while none is needed.
     TimePoint needed_since;
-    /// Since when the promotion waits for nothing but statuses; epoch while it
-    /// does not.
+    /// Since when the promotion waits for nothing but statuses. Meaningful
+    /// while `deferral` says so.
     TimePoint status_awaited_since;
     /// Newest position received by any replica.
     LogPosition newest_received;
@@ -142,6 +143,8 @@
     /// When it is withdrawn unless the database has become primary.
     TimePoint withdrawal_at;
   };
+  void EvaluateGroup(TimePoint now, const session::GroupView& group,
+                     uint64_t token);
   bool SeemsToFail(TimePoint now, const session::DatabaseView* primary) const;
   /// Returns why the group needs a new primary; empty if it does not.
   std::string PromotionReason(TimePoint now, const session::GroupView& group,
@@ -172,8 +175,11 @@
                                                const GroupState& state) const;
   /// Returns why the promotion has to wait; empty if it does not.
   std::string DeferralReason(TimePoint now, const session::GroupView& group,
-                             GroupState* group_state,
+                             const GroupState& state,
                              const session::DatabaseView* candidate) const;
+  void DeferPromotion(TimePoint now, const session::GroupView& group,
+                      const std::string& cause, const std::string& reason,
+                      GroupState* state);
   static std::string DescribeDatabases(TimePoint now,
                                        const session::GroupView& group,
                                        const GroupState& state);
--- a/src/libcore/failover/coordinator.cc
+++ b/src/libcore/failover/coordinator.cc
@@ -1,7 +1,6 @@
 #include "ryefold/core/failover/coordinator.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace ryefold::core::failover {
 namespace {
@@ -10,6 +9,9 @@
 using session::GroupView;
 using std::chrono::milliseconds;
 
+/// Reason to defer a promotion: a replica that answers has no recent status.
+constexpr const char* kStaleStatus = "stale status";
+
 const DatabaseView* FindPrimary(const GroupView& group) {
   for (const DatabaseView& database : group.databases) {
     if (database.id == group.primary) return &database;
@@ -276,11 +278,8 @@
 }
 
 std::string Coordinator::DeferralReason(TimePoint now, const GroupView& group,
-                                        GroupState* group_state,
+                                        const GroupState& state,
                                         const DatabaseView* candidate) const {
-  const GroupState& state = *group_state;
-  const TimePoint status_awaited_since =
-      std::exchange(group_state->status_awaited_since, TimePoint());
   if (candidate == nullptr) return "no replica with a current position";
   if (WouldDiscardCommits(group, state, *candidate)) {
     return "another replica has received more";
@@ -292,11 +291,26 @@
     return "a replica is unreachable";
   }
   if (!HasStaleReplicaStatus(now, group, state)) return "";
-  group_state->status_awaited_since =
-      status_awaited_since == TimePoint() ? now : status_awaited_since;
-  const bool may_wait =
-      now - group_state->status_awaited_since < timing_.status_wait;
-  return may_wait ? "stale status" : "";
+  const bool waited = state.deferral == kStaleStatus &&
+                      now - state.status_awaited_since >= timing_.status_wait;
+  return waited ? "" : kStaleStatus;
+}
+
+/// Logs each new reason for which the promotion waits, and asks for statuses.
+void Coordinator::DeferPromotion(TimePoint now, const GroupView& group,
+                                 const std::string& cause,
+                                 const std::string& reason, GroupState* state) {
+  if (reason != state->deferral) {
+    Event(events_, EventPriority::kState, "promotion_deferred")
+        .Add("group", group.group)
+        .Add("cause", cause)
+        .Add("reason", reason)
+        .Add("term", state->term)
+        .Add("known", DescribeDatabases(now, group, *state));
+    if (reason == kStaleStatus) state->status_awaited_since = now;
+  }
+  state->deferral = reason;
+  ProbeIfDue(now, group, state, /*suspected=*/true);
 }
 
 /// Records since when the primary seems to fail. Only statuses requested from
@@ -327,43 +341,36 @@
     return;
   }
   for (const GroupView& group : groups) {
-    if (group.databases.empty()) continue;
-    GroupState& state = groups_[group.group];
-    const DatabaseView* primary = FindPrimary(group);
-    UpdateLeadership(now, group, &state);
-    const bool promoting = now < state.promotion_deadline;
-    if (promoting && group.primary != state.ordered_database) continue;
-    if (promoting) state.promotion_deadline = TimePoint();
-    UpdateReplicationStall(now, group, &state);
-    const bool failing = SeemsToFail(now, primary);
-    UpdateSuspicion(now, failing, &state);
-    const bool suspected = failing || state.stalled_since != TimePoint();
-    ProbeIfDue(now, group, &state, suspected);
-    const std::string cause = PromotionReason(now, group, &state);
-    if (cause.empty()) {
-      state.needed_since = TimePoint();
-      state.status_awaited_since = TimePoint();
-      state.deferral.clear();
-      WithdrawOutdatedAnnouncement(now, group);
-      continue;
-    }
-    if (state.needed_since == TimePoint()) state.needed_since = now;
-    const DatabaseView* candidate = ChooseCandidate(now, group, state);
-    const std::string deferral = DeferralReason(now, group, &state, candidate);
-    if (deferral.empty()) {
-      OrderPromotion(now, group, *candidate, cause, *token, &state);
-      continue;
-    }
-    if (deferral != state.deferral) {
-      Event(events_, EventPriority::kState, "promotion_deferred")
-          .Add("group", group.group)
-          .Add("cause", cause)
-          .Add("reason", deferral)
-          .Add("term", state.term)
-          .Add("known", DescribeDatabases(now, group, state));
-    }
-    state.deferral = deferral;
-    ProbeIfDue(now, group, &state, /*suspected=*/true);
+    if (!group.databases.empty()) EvaluateGroup(now, group, *token);
+  }
+}
+
+void Coordinator::EvaluateGroup(TimePoint now, const GroupView& group,
+                                uint64_t token) {
+  GroupState& state = groups_[group.group];
+  UpdateLeadership(now, group, &state);
+  const bool promoting = now < state.promotion_deadline;
+  if (promoting && group.primary != state.ordered_database) return;
+  if (promoting) state.promotion_deadline = TimePoint();
+  UpdateReplicationStall(now, group, &state);
+  const bool failing = SeemsToFail(now, FindPrimary(group));
+  UpdateSuspicion(now, failing, &state);
+  const bool suspected = failing || state.stalled_since != TimePoint();
+  ProbeIfDue(now, group, &state, suspected);
+  const std::string cause = PromotionReason(now, group, &state);
+  if (cause.empty()) {
+    state.needed_since = TimePoint();
+    state.deferral.clear();
+    WithdrawOutdatedAnnouncement(now, group);
+    return;
+  }
+  if (state.needed_since == TimePoint()) state.needed_since = now;
+  const DatabaseView* candidate = ChooseCandidate(now, group, state);
+  const std::string deferral = DeferralReason(now, group, state, candidate);
+  if (deferral.empty()) {
+    OrderPromotion(now, group, *candidate, cause, token, &state);
+  } else {
+    DeferPromotion(now, group, cause, deferral, &state);
   }
 }
 
