--- a/testsuite/session_proxy/proxy_test.cc
+++ b/testsuite/session_proxy/proxy_test.cc
@@ -186,41 +186,40 @@
   EXPECT_EQ(replies_[1].error, ErrorCode::kInDoubt);
 }
 
-// The same when the old primary is promoted again soon after: its log was
-// rolled back by the promotion in between.
-TEST_F(ProxyTest, AcknowledgesNoCommitThatAPromotionInBetweenDiscarded) {
-  CreateInstances(1);
-  StartSession(0, 1, "primary");
-  EXPECT_EQ(Write(0, 1), ErrorCode::kNone);
-  RunFor(50);
-  cluster_.database("db-b").detached = true;
-  hosts_[0]->proxy()->ExpectPrimary(clock_.now(), "group", "db-b");
-  Send(0, 1, StatementKind::kWrite, "WRITE k v");
-  RunFor(200);
-  ASSERT_EQ(replies_.count(1), 0U);
-  cluster_.Promote("db-b");
-  hosts_[0]->proxy()->ExpectPrimary(clock_.now(), "group", "db-a");
-  RunFor(1200);
-  ASSERT_EQ(replies_.count(1), 1U);
+class TwoPromotionsTest : public ProxyTest {
+ protected:
+  /// Makes a commit on db-a that all replicas but `first` receive, promotes
+  /// `first` and announces `second`. The reply to caller 1 is in `replies_`
+  /// afterwards.
+  void CommitBeforeTwoPromotions(const std::string& first,
+                                 const std::string& second) {
+    CreateInstances(1);
+    StartSession(0, 1, "primary");
+    EXPECT_EQ(Write(0, 1), ErrorCode::kNone);
+    RunFor(50);
+    cluster_.database(first).detached = true;
+    hosts_[0]->proxy()->ExpectPrimary(clock_.now(), "group", first);
+    Send(0, 1, StatementKind::kWrite, "WRITE k v");
+    RunFor(200);
+    ASSERT_EQ(replies_.count(1), 0U);
+    cluster_.Promote(first);
+    hosts_[0]->proxy()->ExpectPrimary(clock_.now(), "group", second);
+    RunFor(1200);
+    ASSERT_EQ(replies_.count(1), 1U);
+  }
+};
+
+// The old primary is promoted again soon after it was replaced. Its log was
+// rolled back in between, so it no longer holds a commit that it made before.
+TEST_F(TwoPromotionsTest, AcknowledgesNoCommitThatTheFirstDiscarded) {
+  CommitBeforeTwoPromotions("db-b", "db-a");
   EXPECT_EQ(replies_[1].error, ErrorCode::kInDoubt);
 }
 
-// The same when the replica that had received the commit is promoted next: what
-// it reported before the promotion in between does not count.
-TEST_F(ProxyTest, AcknowledgesNoCommitByAnOldReportOfTheNextPrimary) {
-  CreateInstances(1);
-  StartSession(0, 1, "primary");
-  EXPECT_EQ(Write(0, 1), ErrorCode::kNone);
-  RunFor(50);
-  cluster_.database("db-b").detached = true;
-  hosts_[0]->proxy()->ExpectPrimary(clock_.now(), "group", "db-b");
-  Send(0, 1, StatementKind::kWrite, "WRITE k v");
-  RunFor(200);
-  ASSERT_EQ(replies_.count(1), 0U);
-  cluster_.Promote("db-b");
-  hosts_[0]->proxy()->ExpectPrimary(clock_.now(), "group", "db-c");
-  RunFor(1200);
-  ASSERT_EQ(replies_.count(1), 1U);
+// The replica that had received a commit is promoted after another one that had
+// not. What it reported before the first promotion does not count.
+TEST_F(TwoPromotionsTest, AcknowledgesNoCommitByAnOldReportOfTheSecond) {
+  CommitBeforeTwoPromotions("db-b", "db-c");
   EXPECT_EQ(replies_[1].error, ErrorCode::kInDoubt);
 }
 
--- a/testsuite/soak/main.cc
+++ b/testsuite/soak/main.cc
@@ -14,6 +14,7 @@
 #include <cxxopts.hpp>
 #include <fstream>
 #include <iostream>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <random>
@@ -55,13 +56,23 @@
 /// while the instance restarts; on a shared address, an instance of another run
 /// could take it and answer this run's callers.
 std::string OwnLoopbackAddress() {
-  constexpr uint32_t kByte = 256;
+  constexpr uint32_t kByteValues = 256;
   const auto pid = static_cast<uint32_t>(getpid());
-  return "127." + std::to_string(1 + pid / kByte / kByte) + "." +
-         std::to_string(pid / kByte % kByte) + "." +
-         std::to_string(pid % kByte);
+  return "127." + std::to_string(1 + pid / kByteValues / kByteValues) + "." +
+         std::to_string(pid / kByteValues % kByteValues) + "." +
+         std::to_string(pid % kByteValues);
 }
 
+/// Names in the log of injected faults, by the number that `InjectFault` draws.
+constexpr const char* kFaultNames[] = {
+    "database_link",    "database_link",        "database_link_reset",
+    "store_link",       "instance_killed",      "instance_terminated",
+    "instance_stopped", "replication_delayed",  "database_slow",
+    "store_down",       "configuration_changed"};
+/// Names of the kinds of `LinkFault`.
+constexpr const char* kLinkFaultNames[] = {"none", "delay", "drop_all",
+                                           "drop_replies", "refuse"};
+
 struct Options {
   std::string program;
   std::string folder;
@@ -215,14 +226,15 @@
     const milliseconds duration(300 + random()() % 2500);
     const auto fault = static_cast<LinkFault>(1 + random()() % 4);
     if (options_.databases_go_on && random()() % 3 == 0) {
-      LogFault("group " + database);
+      LogFault("group_fault database=" + database +
+               " duration=" + std::to_string(duration.count()) + "ms");
       InjectGroupFault(database, duration);
       return;
     }
-    const uint64_t kind = random()() % 11;
-    LogFault("kind=" + std::to_string(kind) + " database=" + database +
+    const uint64_t kind = random()() % std::size(kFaultNames);
+    LogFault(std::string(kFaultNames[kind]) + " database=" + database +
              " instance=i" + std::to_string(instance) +
-             " link=" + std::to_string(static_cast<int>(fault)) +
+             " link=" + kLinkFaultNames[static_cast<size_t>(fault)] +
              " duration=" + std::to_string(duration.count()) + "ms");
     switch (kind) {
       case 0:
@@ -354,11 +366,12 @@
     if (!faults_ended_) StartCaller(id);
   }
 
-  /// Writes a line about an injected fault, with the state that callers meet.
+  /// Logs a fault with the writes that callers had acknowledged by then and the
+  /// state of the databases, so that a run with too few of them can be traced.
   void LogFault(const std::string& fault) {
     const auto since_start = std::chrono::duration_cast<milliseconds>(
         steady_clock::now() - started_at_);
-    fault_log_ << "ms=" << since_start.count() << " " << fault
+    fault_log_ << "at=" << since_start.count() << "ms fault=" << fault
                << " writes=" << tally().acknowledged_writes
                << " refused=" << tally().refused
                << " primary=" << databases_.cluster().primary();
--- a/testsuite/support/session/failover_fleet.h
+++ b/testsuite/support/session/failover_fleet.h
@@ -182,7 +182,7 @@
       FakeCluster& promoted = callers_->cluster();
       if (!promoted.database(database).up) return;
       if (promoted.primary() == database) return;
-      if (promoted.replaced_stay_active()) JoinThird(database);
+      if (promoted.replaced_stay_active()) LetThirdReceivePromotion(database);
       promoted.Promote(database);
       core::Event(&trace_, core::EventPriority::kState, "promoted")
           .Add("database", database);
@@ -192,10 +192,10 @@
     return PromotionOutcome::kAccepted;
   }
 
-  /// Lets the third database, neither old primary nor new one, receive the
+  /// Lets the third database, neither the old nor the new primary, receive the
   /// promotion. No guarantee holds for one that misses a promotion and is then
   /// alone with a primary that stays active.
-  void JoinThird(const std::string& candidate) {
+  void LetThirdReceivePromotion(const std::string& candidate) {
     FakeCluster& cluster = callers_->cluster();
     const std::string old = cluster.primary();
     for (const char* id : {"db-a", "db-b", "db-c"}) {
--- a/testsuite/support/session/failover_run.h
+++ b/testsuite/support/session/failover_run.h
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <iterator>
 #include <string>
 
 #include "ryefold/core/event.h"
@@ -13,16 +14,20 @@
 namespace ryefold::testsuite {
 
 inline constexpr uint32_t kRunCallers = 12;
-inline constexpr int kRunFaults = 9;
+inline constexpr int kFaultsPerRun = 9;
 inline constexpr const char* kDatabases[] = {"db-a", "db-b", "db-c"};
 
-/// Callers, their instances and the failover of one random run.
+/// Callers, their instances and the failover of one random run. Odd seeds use
+/// five instances of which three hold database connections, so that the others
+/// forward their callers' statements.
 struct FailoverRun {
   explicit FailoverRun(uint64_t seed)
-      : callers(seed, {kRunCallers, seed % 2 == 0 ? 2U : 5U,
-                       seed % 2 == 0 ? 21U : 5U}),
-        failover(&callers) {}
+      : callers(seed, FleetSizeOf(seed)), failover(&callers) {}
 
+  static CheckedCallers::FleetSize FleetSizeOf(uint64_t seed) {
+    if (seed % 2 == 0) return {kRunCallers, 2, 21};
+    return {kRunCallers, 5, 5};
+  }
   uint64_t Below(uint64_t limit) { return callers.random()() % limit; }
   milliseconds Duration(uint64_t least_ms, uint64_t most_ms) {
     return milliseconds(least_ms + Below(most_ms - least_ms));
@@ -84,54 +89,73 @@
                              [run, id] { run->callers.cluster().Restart(id); });
 }
 
+inline void DetachReplica(FailoverRun* run) {
+  const std::string id = run->RandomReplica();
+  run->callers.cluster().database(id).detached = true;
+  run->callers.clock().After(run->Duration(300, 4000), [run, id] {
+    run->callers.cluster().database(id).detached = false;
+  });
+}
+
+/// A fault by its name in traces. `inject` gets a random instance.
+struct FailoverFault {
+  const char* name;
+  void (*inject)(FailoverRun* run, size_t instance);
+};
+
+/// Faults of a run, equally likely; some stand twice.
+inline constexpr FailoverFault kFailoverFaults[] = {
+    {"primary_partitioned",
+     [](FailoverRun* run, size_t /*instance*/) { PartitionPrimary(run); }},
+    {"primary_partitioned",
+     [](FailoverRun* run, size_t /*instance*/) { PartitionPrimary(run); }},
+    {"primary_unreachable",
+     [](FailoverRun* run, size_t /*instance*/) {
+       CutFromInstances(run, run->callers.cluster().primary());
+     }},
+    {"replica_unreachable",
+     [](FailoverRun* run, size_t /*instance*/) {
+       CutFromInstances(run, run->RandomReplica());
+     }},
+    {"primary_crashed",
+     [](FailoverRun* run, size_t /*instance*/) { CrashPrimary(run); }},
+    {"primary_crashed",
+     [](FailoverRun* run, size_t /*instance*/) { CrashPrimary(run); }},
+    {"replica_detached",
+     [](FailoverRun* run, size_t /*instance*/) { DetachReplica(run); }},
+    {"replica_detached",
+     [](FailoverRun* run, size_t /*instance*/) { DetachReplica(run); }},
+    {"database_slow",
+     [](FailoverRun* run, size_t /*instance*/) {
+       const char* id = kDatabases[run->Below(3)];
+       run->callers.cluster().database(id).extra_latency = milliseconds(80);
+     }},
+    {"duty_moved",
+     [](FailoverRun* run, size_t /*instance*/) {
+       run->failover.MoveDuty(run->Duration(0, 1500));
+     }},
+    {"connections_stalled",
+     [](FailoverRun* run, size_t instance) {
+       run->callers.host(instance).StallConnections();
+     }},
+    {"instance_restarted",
+     [](FailoverRun* run, size_t instance) {
+       run->failover.RestartInstance(instance);
+     }},
+};
+
 /// Injects one random fault of a database, an instance or the network.
 inline void InjectFailoverFault(FailoverRun* run) {
-  FakeCluster& cluster = run->callers.cluster();
-  if (cluster.primary().empty()) return;
-  const size_t host = run->Below(run->callers.hosts());
-  const uint64_t fault = run->Below(12);
+  const std::string primary = run->callers.cluster().primary();
+  if (primary.empty()) return;
+  const size_t instance = run->Below(run->callers.hosts());
+  const FailoverFault& fault =
+      kFailoverFaults[run->Below(std::size(kFailoverFaults))];
   core::Event(run->failover.trace(), core::EventPriority::kState, "fault")
-      .Add("kind", fault)
-      .Add("primary", cluster.primary())
-      .Add("host", host);
-  switch (fault) {
-    case 0:
-    case 1:
-      PartitionPrimary(run);
-      break;
-    case 2:
-      CutFromInstances(run, cluster.primary());
-      break;
-    case 3:
-      CutFromInstances(run, run->RandomReplica());
-      break;
-    case 4:
-    case 5:
-      CrashPrimary(run);
-      break;
-    case 6:
-    case 7: {
-      const std::string id = run->RandomReplica();
-      cluster.database(id).detached = true;
-      run->callers.clock().After(run->Duration(300, 4000), [run, id] {
-        run->callers.cluster().database(id).detached = false;
-      });
-      break;
-    }
-    case 8:
-      cluster.database(kDatabases[run->Below(3)]).extra_latency =
-          milliseconds(80);
-      break;
-    case 9:
-      run->failover.MoveDuty(run->Duration(0, 1500));
-      break;
-    case 10:
-      run->callers.host(host).StallConnections();
-      break;
-    default:
-      run->failover.RestartInstance(host);
-      break;
-  }
+      .Add("kind", fault.name)
+      .Add("primary", primary)
+      .Add("instance", instance);
+  fault.inject(run, instance);
 }
 
 inline void ClearFailoverFaults(FailoverRun* run) {
@@ -158,7 +182,7 @@
   SCOPED_TRACE("seed " + std::to_string(seed));
   FailoverRun run(seed);
   if (stay_active) run.callers.cluster().KeepReplacedActive();
-  for (int i = 0; i < kRunFaults; ++i) {
+  for (int i = 0; i < kFaultsPerRun; ++i) {
     run.callers.Run(run.Duration(100, 1500));
     InjectFailoverFault(&run);
   }
