Fleets of tests have an address of their own, and give each port once

Hypotheses: (1) two of the gateway's three ports were the same draw; (2) a process of another test, whose local stack draws from 12000 to 31999 on the same address, had the port. The logs that tell them apart (the gateway's settings) were removed with the test's folder. Which of the two it was stays open.

Each fleet has a loopback address derived from its shell's process id, as the soak has, and remembers the ports that it gave.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -3,6 +3,11 @@
 # sets `fleet` to a folder and ends everything with `fleet_down`.
 
 fleet_pids=()
+fleet_ports=" "
+
+# A loopback address of this shell alone, so that its gateways share no port
+# with those of other tests, not even while one of them is being started.
+fleet_host="127.$((1 + $$ / 65536)).$(($$ / 256 % 256)).$(($$ % 256))"
 
 # fleet_test: a folder for the fleet of a test, ended and removed when the test
 # exits; a failed one shows the ends of the logs.
@@ -12,7 +17,10 @@
 }
 fleet_finish() {
   local code=$?
-  [ "$code" -eq 0 ] || tail -n 5 "$fleet"/*.log >&2
+  [ "$code" -eq 0 ] || {
+    grep -H '_address"' "$fleet"/gateway-*.json >&2 || true
+    tail -n 5 "$fleet"/*.log >&2 || true
+  }
   fleet_down
   rm -rf "$fleet"
   exit "$code"
@@ -39,35 +47,37 @@
   done
 }
 
-# Ports that are free now; the gateways listen on them at once. The kernel hands
-# ports from 32768 on to outgoing connections, and one of those could take a
-# port between this look and the gateway's start; the soak uses those below
-# 30000.
+# fleet_free_port NAME: sets the variable NAME to a port of fleet_host that no
+# gateway of this fleet was given before. The kernel hands ports from 32768 on
+# to outgoing connections, and one of those could take a port between this look
+# and the gateway's start.
 fleet_free_port() {
   local port
   while :; do
     port=$((30000 + RANDOM % 2768))
-    (exec 9<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null || break
+    [[ "$fleet_ports" == *" $port "* ]] && continue
+    (exec 9<>"/dev/tcp/$fleet_host/$port") 2>/dev/null || break
   done
-  echo "$port"
+  fleet_ports+="$port "
+  printf -v "$1" '%s' "$port"
 }
 
 # fleet_start N: starts gateway N, logging to $fleet/gateway-N.log.
 fleet_start() {
   local build="${BUILD:-build}" turn
   local sessions ready peers
-  sessions=$(fleet_free_port)
-  ready=$(fleet_free_port)
-  peers=$(fleet_free_port)
+  fleet_free_port sessions
+  fleet_free_port ready
+  fleet_free_port peers
   printf '%s\n' "$sessions" >"$fleet/gateway-$1.port"
   printf '%s\n' "$ready" >"$fleet/gateway-$1.ready"
   cat >"$fleet/gateway-$1.json" <<SETTINGS
 // a gateway of the local fleet
 {
   "name": "gateway-$1", "failure_domain": "a",
-  "session_address": "127.0.0.1:$sessions",
-  "ready_address": "127.0.0.1:$ready",
-  "peer_address": "127.0.0.1:$peers",
+  "session_address": "$fleet_host:$sessions",
+  "ready_address": "$fleet_host:$ready",
+  "peer_address": "$fleet_host:$peers",
   "store_address": "$fleet_store", "promotion_address": "$fleet_control"
 }
 SETTINGS
@@ -75,7 +85,7 @@
     >>"$fleet/gateway-$1.log" 2>&1 &
   fleet_pids+=("$!")
   for ((turn = 0; turn < 200; ++turn)); do
-    curl -s -f -m 1 "http://127.0.0.1:$ready/ready" >/dev/null && return 0
+    curl -s -f -m 1 "http://$fleet_host:$ready/ready" >/dev/null && return 0
     sleep 0.05
   done
   echo "gateway-$1 is not ready" >&2
@@ -95,7 +105,7 @@
 # open_session N ROUTE: a session at gateway N on descriptor 5.
 open_session() {
   local line
-  exec 5<>"/dev/tcp/127.0.0.1/$(cat "$fleet/gateway-$1.port")"
+  exec 5<>"/dev/tcp/$fleet_host/$(cat "$fleet/gateway-$1.port")"
   printf 'START %s local\r\n' "$2" >&5
   IFS= read -r -t 5 line <&5
   [[ "$line" == READY* ]]
--- a/scripts/load.sh
+++ b/scripts/load.sh
@@ -10,7 +10,7 @@
 fleet_up 3
 gateways=()
 for n in 1 2 3; do
-  gateways+=(--gateway "127.0.0.1:$(cat "$fleet/gateway-$n.port")")
+  gateways+=(--gateway "$fleet_host:$(cat "$fleet/gateway-$n.port")")
 done
 "$BUILD/load_sessions" "${gateways[@]}" --control "$fleet_control" --seconds 20 \
   --callers "${CALLERS:-8}" --fault '8 /fault/crash {"id":"db-a"}' --svg load.svg
--- a/testsuite/process_load/run.sh
+++ b/testsuite/process_load/run.sh
@@ -8,8 +8,8 @@
 fleet_test
 
 fleet_up 2
-"$BUILD/load_sessions" --gateway "127.0.0.1:$(cat "$fleet/gateway-1.port")" \
-  --gateway "127.0.0.1:$(cat "$fleet/gateway-2.port")" --control "$fleet_control" \
+"$BUILD/load_sessions" --gateway "$fleet_host:$(cat "$fleet/gateway-1.port")" \
+  --gateway "$fleet_host:$(cat "$fleet/gateway-2.port")" --control "$fleet_control" \
   --callers 3 --pause 50 --seconds 7 --fault '2 /fault/crash {"id":"db-a"}' \
   --svg "$fleet/load.svg" >"$fleet/table" || fail "the run failed"
 cat "$fleet/table"
@@ -17,7 +17,7 @@
   [ "$(awk -v kind="$kind" '$1 == kind {print $2}' "$fleet/table")" -gt 20 ] || fail "no $kind in goal"
 done
 # Writes resume after the crash, which interrupts about 1.5 s of the 7 s run.
-"$BUILD/ryefoldctl" gateways --json --server "127.0.0.1:$(cat "$fleet/gateway-1.ready")" |
+"$BUILD/ryefoldctl" gateways --json --server "$fleet_host:$(cat "$fleet/gateway-1.ready")" |
   jq -e '.[0].groups[0] | .primary != "db-a" and .writes_held == false' >/dev/null ||
   fail "nobody leads after the loss"
 grep -q '</svg>' "$fleet/load.svg" || fail "no picture"
--- a/testsuite/process_sessions/run.sh
+++ b/testsuite/process_sessions/run.sh
@@ -36,14 +36,14 @@
 explained w1 'event=answered request=w1 .*outcome=none database=db-a' "an ordinary write"
 
 # The operators' view: the primary, the configuration in force, held writes.
-status="$("$BUILD/ryefoldctl" gateways --json --server "127.0.0.1:$(cat "$fleet/gateway-1.ready")" \
-  --server "127.0.0.1:$(cat "$fleet/gateway-2.ready")")"
+status="$("$BUILD/ryefoldctl" gateways --json --server "$fleet_host:$(cat "$fleet/gateway-1.ready")" \
+  --server "$fleet_host:$(cat "$fleet/gateway-2.ready")")"
 [ "$(jq -r '.[0].groups[0].primary' <<<"$status")" = db-a ] || fail "no primary in: $status"
 [ "$(jq -r 'map(.config_version) | unique | length' <<<"$status")" = 1 ] || fail "versions differ: $status"
 [ "$(jq -r '.[1].groups[0].writes_held' <<<"$status")" = false ] || fail "writes are held: $status"
-"$BUILD/ryefoldctl" gateways --server "127.0.0.1:$(cat "$fleet/gateway-1.ready")" |
+"$BUILD/ryefoldctl" gateways --server "$fleet_host:$(cat "$fleet/gateway-1.ready")" |
   grep -q '^gateway-1 .*ready' || fail "no table of gateways"
-"$BUILD/ryefoldctl" workspaces --server "127.0.0.1:$(cat "$fleet/gateway-1.ready")" |
+"$BUILD/ryefoldctl" workspaces --server "$fleet_host:$(cat "$fleet/gateway-1.ready")" |
   grep -q '^WORKSPACE ' || fail "no table of workspaces"
 if "$BUILD/ryefoldctl" gateways --server 127.0.0.1:1 >/dev/null 2>&1; then
   fail "a gateway that is not there was shown"
