Replicas are paused before another one is promoted

Cause: replicas are read before an order and go on receiving. A commit that one of them receives afterwards is acknowledged by an instance that has not heard of the order, and the promotion of another one discards it.

Ruled out: a wrong choice by old positions (all statuses are from after the failure, 200 ms old at most); an announcement that is lost (it arrives, 5 ms later).

Change: before the order every replica but the candidate is paused (the platform's PAUSE under the next term), and the candidate has to have received what they hold. The candidate goes on receiving, so commits go on during a planned change. A replica that does not answer within 500 ms is passed over, and an unreachable one counts only if it is known to be paused. Replicas of a promotion that did not take place are resumed, not before an announced one can no longer take effect.

--- a/src/include/ryefold/core/failover/coordinator.h
+++ b/src/include/ryefold/core/failover/coordinator.h
@@ -42,6 +42,10 @@
   virtual ~CoordinatorPort() = default;
   /// Requests the status of all databases of the group.
   virtual void Probe(const std::string& group) = 0;
+  /// Stops a replica from receiving under terms below `term` until a promotion
+  /// or `ResumeReplication`. Its next status shows whether it stopped.
+  virtual void PauseReplication(const std::string& database, uint64_t term) = 0;
+  virtual void ResumeReplication(const std::string& database) = 0;
   /// Notifies all instances that `database` becomes the primary; an empty id
   /// withdraws the last notification.
   virtual void Announce(const std::string& group,
@@ -77,6 +81,13 @@
   /// Maximum wait for the status of replicas that answer other calls. A busy
   /// replica answers status calls late and may have received the most.
   std::chrono::milliseconds status_wait{500};
+  /// Interval between requests to pause or resume a replica that has not
+  /// answered.
+  std::chrono::milliseconds pause_interval{150};
+  /// Maximum wait for the other replicas to pause and for the candidate to
+  /// receive what they have. After that only the announcement keeps commits
+  /// that the candidate lacks from being acknowledged.
+  std::chrono::milliseconds pause_wait{500};
   /// Time allowed for a promotion, which takes about 1 s, before the group is
   /// evaluated again.
   std::chrono::milliseconds promotion_timeout{2500};
@@ -106,6 +117,10 @@
   void AnnouncementRead(TimePoint now, const std::string& group,
                         const std::string& database);
 
+  /// Whether a promotion waits for nothing but answers of replicas, so that it
+  /// should be evaluated again within milliseconds.
+  bool AwaitsReplicas() const;
+
  private:
   struct GroupState {
     TimePoint next_probe_at;
@@ -123,9 +138,15 @@
     TimePoint suspected_since;
     /// When a promotion became necessary; epoch while none is needed.
     TimePoint needed_since;
-    /// Since when the promotion waits for nothing but statuses. Meaningful
-    /// while `deferral` says so.
-    TimePoint status_awaited_since;
+    /// End of the wait for statuses. Meaningful while `deferral` says that the
+    /// promotion waits for nothing but replies of replicas.
+    TimePoint reply_deadline;
+    /// Database for which the other replicas are paused; empty if none are.
+    std::string candidate;
+    /// End of the wait for the other replicas to pause.
+    TimePoint pause_deadline;
+    /// Earliest time of the next requests to pause or resume replicas.
+    TimePoint next_pause_at;
     /// Newest position received by any replica.
     LogPosition newest_received;
     /// When `newest_received` stopped advancing behind the primary's log; epoch
@@ -159,6 +180,8 @@
   static void UpdateSuspicion(TimePoint now, bool failing, GroupState* state);
   static bool IsReadSinceFailure(const GroupState& state,
                                  const session::DatabaseView& database);
+  static bool IsPaused(const GroupState& state,
+                       const session::DatabaseView& database);
   bool HasStaleReplicaStatus(TimePoint now, const session::GroupView& group,
                              const GroupState& state) const;
   static bool WouldDiscardCommits(const session::GroupView& group,
@@ -170,9 +193,21 @@
   static bool MayLackPresentTerm(const session::GroupView& group,
                                  const GroupState& state,
                                  const session::DatabaseView& candidate);
+  bool IsEligible(const session::GroupView& group,
+                  const session::DatabaseView& database, TimePoint now) const;
+  const session::DatabaseView* FindMostAdvanced(TimePoint now,
+                                                const session::GroupView& group,
+                                                const GroupState& state) const;
   const session::DatabaseView* ChooseCandidate(TimePoint now,
                                                const session::GroupView& group,
                                                const GroupState& state) const;
+  std::vector<const session::DatabaseView*> UnpausedReplicas(
+      TimePoint now, const session::GroupView& group, const GroupState& state,
+      const session::DatabaseView& candidate) const;
+  bool AwaitsPause(TimePoint now, const session::GroupView& group,
+                   const session::DatabaseView& candidate, GroupState* state);
+  void ResumeReplicas(TimePoint now, const session::GroupView& group,
+                      GroupState* state);
   /// Returns why the promotion has to wait; empty if it does not.
   std::string DeferralReason(TimePoint now, const session::GroupView& group,
                              const GroupState& state,
--- a/src/include/ryefold/core/session/proxy.h
+++ b/src/include/ryefold/core/session/proxy.h
@@ -148,6 +148,13 @@
 
   /// Requests the status of every database of the group.
   void ProbeGroup(TimePoint now, const std::string& group);
+  /// Stops a replica from receiving until a promotion or `ResumeReplication`.
+  /// `term` has to be above every term that it knows. Its status, which tells
+  /// whether it stopped, is in `groups` once it has answered; calls that get no
+  /// answer are not repeated.
+  void PauseReplication(TimePoint now, const std::string& database,
+                        uint64_t term);
+  void ResumeReplication(TimePoint now, const std::string& database);
   /// Announces that `database` is about to be promoted, or that no database is
   /// if the id is empty. Statements wait for the new primary instead of being
   /// refused, and only what it has received confirms commits.
--- a/src/include/ryefold/core/session/statement.h
+++ b/src/include/ryefold/core/session/statement.h
@@ -78,6 +78,8 @@
   uint64_t term = 0;
   /// Last position received, applied or not.
   LogPosition received;
+  /// Term under which replication to this replica is paused; 0 if it is not.
+  uint64_t paused_term = 0;
   /// Statements running or queued.
   uint32_t queue_depth = 0;
   /// Connections held by all callers together.
@@ -95,7 +97,7 @@
   TransactionState state = TransactionState::kIdle;
   /// Log position of the database, if reported.
   std::optional<LogPosition> position;
-  /// Result of a kStatus call.
+  /// Result of a kStatus, kPauseReplication or kResumeReplication call.
   std::optional<StatusReport> status;
 
   bool ok() const { return error == ErrorCode::kNone; }
@@ -109,8 +111,10 @@
   kPrepare,
   kDiscard,  ///< Drops all variables and prepared statements.
   kStatus,
-  kVerbatim,  ///< A caller's statement, text unchanged.
-  kExecute,   ///< A caller's kExecute under the name used on this connection.
+  kPauseReplication,   ///< Stops a replica from receiving until a promotion.
+  kResumeReplication,  ///< Ends a pause without a promotion.
+  kVerbatim,           ///< A caller's statement, text unchanged.
+  kExecute,  ///< A caller's kExecute under the name used on this connection.
 };
 
 /// One statement on a database connection.
@@ -124,6 +128,11 @@
   /// Text (kVerbatim), value, template or arguments.
   std::string text;
   bool writes = false;
+  /// Term of a pause; has to be above every term that the replica knows.
+  uint64_t term = 0;
 };
 
+/// Returns whether the database replies to the call with its status.
+bool ReturnsStatus(CallKind kind);
+
 }  // namespace ryefold::core::session
--- a/src/libcore/failover/coordinator.cc
+++ b/src/libcore/failover/coordinator.cc
@@ -11,6 +11,14 @@
 
 /// Reason to defer a promotion: a replica that answers has no recent status.
 constexpr const char* kStaleStatus = "stale status";
+/// Reason to defer a promotion: another replica still receives.
+constexpr const char* kNotPaused = "replica not paused";
+
+/// Returns whether a promotion deferred for this reason waits for nothing but
+/// replies of replicas.
+bool AwaitsReplies(const std::string& deferral) {
+  return deferral == kStaleStatus || deferral == kNotPaused;
+}
 
 const DatabaseView* FindPrimary(const GroupView& group) {
   for (const DatabaseView& database : group.databases) {
@@ -97,6 +105,7 @@
     }
     text.append("@").append(std::to_string(age.count())).append("ms");
     if (!database.responsive) text.append("(silent)");
+    if (database.status.paused_term > 0) text.append("(paused)");
   }
   return text;
 }
@@ -168,19 +177,26 @@
   state->newest_received = received;
 }
 
+/// Returns whether the database is a replica that answers and stays.
+bool Coordinator::IsEligible(const GroupView& group,
+                             const DatabaseView& database,
+                             TimePoint now) const {
+  return database.id != group.primary && !database.draining &&
+         database.refusals == 0 && database.responsive &&
+         now - database.last_contact <= timing_.max_status_age;
+}
+
 /// Returns the most advanced replica among those that answer, since only what
 /// it has received survives the promotion; nullptr if there is none. Entries of
 /// the present term are not discarded, so an old status or an applied position
 /// of that term counts too: a replica that is too busy for status calls may be
 /// the most advanced one.
-const DatabaseView* Coordinator::ChooseCandidate(
+const DatabaseView* Coordinator::FindMostAdvanced(
     TimePoint now, const GroupView& group, const GroupState& state) const {
   const DatabaseView* best = nullptr;
   std::optional<LogPosition> best_position;
   for (const DatabaseView& database : group.databases) {
-    if (database.id == group.primary || database.draining) continue;
-    if (database.refusals > 0 || !database.responsive) continue;
-    if (now - database.last_contact > timing_.max_status_age) continue;
+    if (!IsEligible(group, database, now)) continue;
     const auto position = ReceivedPosition(state, database);
     if (!position.has_value() || position <= best_position) continue;
     best = &database;
@@ -189,6 +205,99 @@
   return best;
 }
 
+/// Returns the database to promote; nullptr if there is none. While the primary
+/// runs, the database for which the others are paused catches up with them, so
+/// it is kept although another one appears more advanced for a moment.
+const DatabaseView* Coordinator::ChooseCandidate(
+    TimePoint now, const GroupView& group, const GroupState& state) const {
+  const DatabaseView* primary = FindPrimary(group);
+  if (primary != nullptr && primary->responsive && primary->refusals == 0 &&
+      now < state.pause_deadline) {
+    for (const DatabaseView& database : group.databases) {
+      const bool kept = database.id == state.candidate &&
+                        IsEligible(group, database, now) &&
+                        ReceivedPosition(state, database).has_value();
+      if (kept) return &database;
+    }
+  }
+  return FindMostAdvanced(now, group, state);
+}
+
+/// Returns the replicas beside the candidate that answer and still receive. A
+/// commit that only one of them receives is acknowledged, and the promotion
+/// would discard it.
+std::vector<const DatabaseView*> Coordinator::UnpausedReplicas(
+    TimePoint now, const GroupView& group, const GroupState& state,
+    const DatabaseView& candidate) const {
+  std::vector<const DatabaseView*> unpaused;
+  for (const DatabaseView& database : group.databases) {
+    if (database.id == group.primary || database.id == candidate.id) continue;
+    const bool answers = database.refusals == 0 &&
+                         now - database.last_contact <= timing_.max_status_age;
+    if (answers && !IsPaused(state, database)) unpaused.push_back(&database);
+  }
+  return unpaused;
+}
+
+/// Pauses the replicas beside the candidate. Returns whether the promotion has
+/// to wait for them.
+bool Coordinator::AwaitsPause(TimePoint now, const GroupView& group,
+                              const DatabaseView& candidate,
+                              GroupState* state) {
+  const auto unpaused = UnpausedReplicas(now, group, *state, candidate);
+  if (unpaused.empty()) return false;
+  // The wait begins anew after one for an unreachable replica.
+  if (state->candidate != candidate.id || !AwaitsReplies(state->deferral)) {
+    state->candidate = candidate.id;
+    state->pause_deadline = now + timing_.pause_wait;
+    state->next_pause_at = now;
+  }
+  if (now >= state->pause_deadline) return false;
+  if (now < state->next_pause_at) return true;
+  state->next_pause_at = now + timing_.pause_interval;
+  // The replicas ignore a pause under a term that they know already.
+  const uint64_t term = state->term + 1;
+  for (const DatabaseView* replica : unpaused) {
+    Event(events_, EventPriority::kState, "replication_paused")
+        .Add("group", group.group)
+        .Add("database", replica->id)
+        .Add("candidate", candidate.id)
+        .Add("term", term)
+        .Add("known", DescribeDatabases(now, group, *state));
+    port_->PauseReplication(replica->id, term);
+  }
+  // The candidate may receive more before the others stop.
+  port_->Probe(group.group);
+  state->next_probe_at = now + timing_.suspected_probe_interval;
+  return true;
+}
+
+/// Resumes replicas that were paused for a promotion which did not take effect.
+/// An announced promotion may still take effect and needs them paused.
+void Coordinator::ResumeReplicas(TimePoint now, const GroupView& group,
+                                 GroupState* state) {
+  state->candidate.clear();
+  if (announcements_.count(group.group) > 0) return;
+  if (now < state->next_pause_at) return;
+  for (const DatabaseView& database : group.databases) {
+    if (database.status.paused_term == 0) continue;
+    state->next_pause_at = now + timing_.pause_interval;
+    Event(events_, EventPriority::kState, "replication_resumed")
+        .Add("group", group.group)
+        .Add("database", database.id)
+        .Add("paused_term", database.status.paused_term)
+        .Add("primary", group.primary)
+        .Add("status_age", now - database.status_requested_at);
+    port_->ResumeReplication(database.id);
+  }
+}
+
+bool Coordinator::AwaitsReplicas() const {
+  return std::any_of(groups_.begin(), groups_.end(), [](const auto& each) {
+    return AwaitsReplies(each.second.deferral);
+  });
+}
+
 /// Returns whether the database's position was requested after the present
 /// primary failed, so that it includes all commits that were acknowledged.
 bool Coordinator::IsReadSinceFailure(const GroupState& state,
@@ -197,6 +306,13 @@
          database.status_requested_at >= state.suspected_since;
 }
 
+/// Returns whether the database no longer receives entries of the present
+/// primary, so that its position is final.
+bool Coordinator::IsPaused(const GroupState& state,
+                           const DatabaseView& database) {
+  return database.status.paused_term > state.term;
+}
+
 /// Returns whether a replica answers other calls but has no status that is both
 /// recent and from after the primary's failure.
 bool Coordinator::HasStaleReplicaStatus(TimePoint now, const GroupView& group,
@@ -254,24 +370,24 @@
 }
 
 /// Returns whether the candidate may lack acknowledged commits that only an
-/// unreachable replica has received. That is excluded if no replica is
-/// unreachable, or if the primary itself shows that it has nothing more: the
-/// primary holds every commit that was acknowledged under it. An unreachable
-/// replica that has ended is removed from the list of databases soon, so this
-/// delays the promotion by a few seconds at most.
+/// unreachable replica has received. That is excluded if every unreachable
+/// replica is paused, or if the primary itself shows that it has nothing more:
+/// the primary holds every commit that was acknowledged under it. An
+/// unreachable replica that has ended is removed from the list of databases
+/// soon, so this delays the promotion by a few seconds at most.
 bool Coordinator::MayLackUnreadCommits(TimePoint now, const GroupView& group,
                                        const GroupState& state,
                                        const DatabaseView& candidate) const {
-  const bool all_read =
+  const bool all_known =
       std::all_of(group.databases.begin(), group.databases.end(),
                   [this, now, &state](const DatabaseView& database) {
                     const bool answers =
                         database.responsive && database.refusals == 0 &&
                         now - database.last_contact <= timing_.max_status_age;
                     return database.id == state.primary || database.draining ||
-                           answers || IsReadSinceFailure(state, database);
+                           answers || IsPaused(state, database);
                   });
-  if (all_read) return false;
+  if (all_known) return false;
   const DatabaseView* primary = FindPrimary(group);
   if (primary == nullptr || !IsReadSinceFailure(state, *primary)) return true;
   return ReceivedPosition(state, candidate) < ReceivedPosition(state, *primary);
@@ -291,8 +407,8 @@
     return "a replica is unreachable";
   }
   if (!HasStaleReplicaStatus(now, group, state)) return "";
-  const bool waited = state.deferral == kStaleStatus &&
-                      now - state.status_awaited_since >= timing_.status_wait;
+  const bool waited =
+      AwaitsReplies(state.deferral) && now >= state.reply_deadline;
   return waited ? "" : kStaleStatus;
 }
 
@@ -307,7 +423,9 @@
         .Add("reason", reason)
         .Add("term", state->term)
         .Add("known", DescribeDatabases(now, group, *state));
-    if (reason == kStaleStatus) state->status_awaited_since = now;
+    if (AwaitsReplies(reason) && !AwaitsReplies(state->deferral)) {
+      state->reply_deadline = now + timing_.status_wait;
+    }
   }
   state->deferral = reason;
   ProbeIfDue(now, group, state, /*suspected=*/true);
@@ -362,11 +480,16 @@
     state.needed_since = TimePoint();
     state.deferral.clear();
     WithdrawOutdatedAnnouncement(now, group);
+    ResumeReplicas(now, group, &state);
     return;
   }
   if (state.needed_since == TimePoint()) state.needed_since = now;
   const DatabaseView* candidate = ChooseCandidate(now, group, state);
-  const std::string deferral = DeferralReason(now, group, state, candidate);
+  std::string deferral = DeferralReason(now, group, state, candidate);
+  if (deferral.empty() || deferral == kStaleStatus) {
+    const bool awaits_pause = AwaitsPause(now, group, *candidate, &state);
+    if (awaits_pause && deferral.empty()) deferral = kNotPaused;
+  }
   if (deferral.empty()) {
     OrderPromotion(now, group, *candidate, cause, token, &state);
   } else {
@@ -415,10 +538,12 @@
       .Add("received", received.index)
       .Add("status_age", now - candidate.status_requested_at)
       .Add("waited", now - state->needed_since)
+      .Add("unpaused", UnpausedReplicas(now, group, *state, candidate).size())
       .Add("known", DescribeDatabases(now, group, *state))
       .Add("primary_heard",
            primary == nullptr ? now - now : now - primary->last_contact);
   state->deferral.clear();
+  state->candidate.clear();
   state->promotion_deadline = now + timing_.promotion_timeout;
   state->ordered_database = candidate.id;
   authority_->Promote(group.group, candidate.id, token);
--- a/src/libcore/session/proxy.cc
+++ b/src/libcore/session/proxy.cc
@@ -207,6 +207,13 @@
   Group* found = impl_->FindGroup(group);
   if (found != nullptr) impl_->ProbeGroup(now, found);
 }
+void Proxy::PauseReplication(TimePoint now, const std::string& database,
+                             uint64_t term) {
+  impl_->PauseReplication(now, database, term);
+}
+void Proxy::ResumeReplication(TimePoint now, const std::string& database) {
+  impl_->ResumeReplication(now, database);
+}
 void Proxy::ExpectPrimary(TimePoint now, const std::string& group,
                           const std::string& database) {
   Group* found = impl_->FindGroup(group);
--- a/src/libcore/session/proxy_impl.h
+++ b/src/libcore/session/proxy_impl.h
@@ -69,6 +69,11 @@
   // proxy_confirming.cc: commits that wait for a replica.
   void MaintainCommits(TimePoint now, Group* group);
 
+  // proxy_replication.cc: pausing replicas before a promotion.
+  void PauseReplication(TimePoint now, const std::string& database,
+                        uint64_t term);
+  void ResumeReplication(TimePoint now, const std::string& database);
+
   // proxy_pool.cc: database connections.
   void ConnectionOpened(TimePoint now, ConnectionId id);
   void ConnectionRefused(TimePoint now, ConnectionId id, ErrorCode error);
@@ -235,6 +240,9 @@
   void ConfirmCommit(TimePoint now, Request* request, Reply reply);
   void AcknowledgeCommit(TimePoint now, Request* request, Reply reply);
   void RequestStatus(TimePoint now, DatabaseState* database, bool beyond_limit);
+  void CallReplica(TimePoint now, const std::string& database,
+                   const BackendCall& call);
+  void SendReplicationCall(TimePoint now, DatabaseState* database);
   void PollReplicas(TimePoint now, Group* group);
   bool ShouldPollAllReplicas(TimePoint now, const Group& group);
   void PollReplicasAgain(TimePoint now, Request* request);
--- a/src/libcore/session/proxy_replies.cc
+++ b/src/libcore/session/proxy_replies.cc
@@ -94,6 +94,7 @@
     connection->taken_at = TimePoint();
     database->pool.Return(now, connection->id);
   }
+  SendReplicationCall(now, database);
   if (database->status_deferred) {
     RequestStatus(now, database, /*beyond_limit=*/false);
   }
--- a/src/libcore/session/state.h
+++ b/src/libcore/session/state.h
@@ -238,6 +238,10 @@
   bool status_pending = false;
   /// A status request could not be sent because no connection was idle.
   bool status_deferred = false;
+  /// Pause or resume of replication that waits for an idle connection, and the
+  /// time at which it is given up.
+  std::optional<BackendCall> replication_call;
+  TimePoint replication_call_deadline;
 };
 
 /// State of another instance as observed by this one.
--- a/src/libcore/session/statement.cc
+++ b/src/libcore/session/statement.cc
@@ -2,6 +2,11 @@
 
 namespace ryefold::core::session {
 
+bool ReturnsStatus(CallKind kind) {
+  return kind == CallKind::kStatus || kind == CallKind::kPauseReplication ||
+         kind == CallKind::kResumeReplication;
+}
+
 bool MeansNotRun(ErrorCode code) {
   switch (code) {
     case ErrorCode::kBusy:
--- a/src/ryefoldd/gateway_failover.cc
+++ b/src/ryefoldd/gateway_failover.cc
@@ -17,6 +17,9 @@
 /// Pace at which the groups are looked at: a fraction of the shortest silence
 /// that means a loss.
 constexpr milliseconds kObservePace{100};
+/// The same while a promotion waits for answers of replicas, which take some
+/// milliseconds.
+constexpr milliseconds kReplicaAnswerPace{10};
 
 }  // namespace
 
@@ -74,6 +77,15 @@
   surroundings_.proxy->ProbeGroup(BootTime(), group);
 }
 
+void GatewayFailover::PauseReplication(const std::string& database,
+                                       uint64_t term) {
+  surroundings_.proxy->PauseReplication(BootTime(), database, term);
+}
+
+void GatewayFailover::ResumeReplication(const std::string& database) {
+  surroundings_.proxy->ResumeReplication(BootTime(), database);
+}
+
 void GatewayFailover::Announce(const std::string& group,
                                const std::string& database) {
   surroundings_.proxy->ExpectPrimary(BootTime(), group, database);
@@ -105,8 +117,10 @@
     coordinator_.EvaluateGroups(now, {}, token);
   }
   surroundings_.flush();
-  observe_timer_ = surroundings_.loop->At(steady_clock::now() + kObservePace,
-                                          [this] { Observe(); });
+  const milliseconds pace =
+      coordinator_.AwaitsReplicas() ? kReplicaAnswerPace : kObservePace;
+  observe_timer_ =
+      surroundings_.loop->At(steady_clock::now() + pace, [this] { Observe(); });
 }
 
 }  // namespace ryefold::ryefoldd
--- a/src/ryefoldd/gateway_failover.h
+++ b/src/ryefoldd/gateway_failover.h
@@ -55,6 +55,8 @@
   bool holds_duty() const;
 
   void Probe(const std::string& group) override;
+  void PauseReplication(const std::string& database, uint64_t term) override;
+  void ResumeReplication(const std::string& database) override;
   void Announce(const std::string& group, const std::string& database) override;
   void ReplaceToken(const std::string& reason) override;
 
--- a/testsuite/failover_coordinator/coordinator_test.cc
+++ b/testsuite/failover_coordinator/coordinator_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -43,6 +45,12 @@
     orders_.push_back({database, token});
   }
   void Probe(const std::string& /*group*/) override { ++probes_; }
+  void PauseReplication(const std::string& database, uint64_t term) override {
+    requested_pauses_[database] = term;
+  }
+  void ResumeReplication(const std::string& database) override {
+    requested_pauses_[database] = 0;
+  }
   void Announce(const std::string& /*group*/,
                 const std::string& database) override {
     announced_ = database;
@@ -60,6 +68,10 @@
         database.last_contact = At(now);
         if (busy_.count(database.id) > 0) continue;
         database.status_requested_at = At(now);
+        const auto pause = requested_pauses_.find(database.id);
+        if (pause == requested_pauses_.end()) continue;
+        database.status.paused_term = pause->second;
+        requested_pauses_.erase(pause);
       }
       coordinator_.EvaluateGroups(At(now), {group_}, token);
     }
@@ -71,6 +83,8 @@
   std::set<std::string> unreachable_;
   /// Databases that answer, but not to status calls.
   std::set<std::string> busy_;
+  /// Term of each pause that a database has not answered; 0 ends one.
+  std::map<std::string, uint64_t> requested_pauses_;
   std::vector<Order> orders_;
   std::string announced_;
   int probes_ = 0;
@@ -448,6 +462,101 @@
   EXPECT_EQ(announced_, "");
 }
 
+// The primary is unreachable for this instance alone. A replica receives a
+// commit after it was read, which another instance acknowledges.
+TEST_F(CoordinatorTest, OrdersNothingWhileAnotherReplicaReceives) {
+  View(0).refusals = 5;
+  Run(0, 0);
+  EXPECT_TRUE(orders_.empty());
+  View(2).status.received = {1, 119};
+  Run(100, 300);
+  ASSERT_EQ(orders_.size(), 1U);
+  EXPECT_EQ(orders_[0].database, "c");
+}
+
+// A replica that never confirms the pause must not block the promotion.
+TEST_F(CoordinatorTest, WaitsForAPauseOnlyForAWhile) {
+  View(0).refusals = 5;
+  for (int64_t now = 0; now <= 700; now += 100) {
+    requested_pauses_.clear();
+    Run(now, now);
+  }
+  EXPECT_EQ(orders_.size(), 1U);
+}
+
+// A replica becomes unreachable before it answers the pause, and reachable
+// again after more than the time for which a pause is waited for.
+TEST_F(CoordinatorTest, PausesAReplicaThatAnswersAgain) {
+  Run(0, 1000);
+  unreachable_ = {"a"};
+  View(0).refusals = 5;
+  Run(1100, 1100);
+  requested_pauses_.clear();
+  unreachable_ = {"a", "c"};
+  View(2).responsive = false;
+  Run(1200, 3000);
+  unreachable_ = {"a"};
+  View(2).responsive = true;
+  Run(3100, 3100);
+  EXPECT_TRUE(orders_.empty());
+  Run(3200, 3300);
+  EXPECT_EQ(orders_.size(), 1U);
+  EXPECT_EQ(View(2).status.paused_term, 2U);
+}
+
+// Commits go on during a planned change. The candidate receives what the paused
+// replica has, so the pause must not move to the candidate: nothing could be
+// confirmed during the promotion.
+TEST_F(CoordinatorTest, LetsTheCandidateOfALivePrimaryCatchUp) {
+  View(0).draining = true;
+  Run(0, 0);
+  View(2).status.received = {1, 105};
+  View(1).status.received = {1, 103};
+  Run(100, 200);
+  EXPECT_TRUE(orders_.empty());
+  View(1).status.received = {1, 110};
+  Run(300, 300);
+  ASSERT_EQ(orders_.size(), 1U);
+  EXPECT_EQ(orders_[0].database, "b");
+  EXPECT_EQ(View(1).status.paused_term, 0U);
+  EXPECT_EQ(View(2).status.paused_term, 2U);
+}
+
+// The candidate of a live primary no longer receives. The paused replica, which
+// has more, is promoted instead.
+TEST_F(CoordinatorTest, PromotesThePausedReplicaIfTheCandidateStaysBehind) {
+  View(0).draining = true;
+  Run(0, 0);
+  View(2).status.received = {1, 105};
+  Run(100, 1200);
+  ASSERT_EQ(orders_.size(), 1U);
+  EXPECT_EQ(orders_[0].database, "c");
+}
+
+// The primary answers again before the order. The paused replica would fall
+// behind for good.
+TEST_F(CoordinatorTest, ResumesReplicasWhenThePrimaryRecovers) {
+  View(0).refusals = 5;
+  Run(0, 0);
+  View(0).refusals = 0;
+  Run(100, 100);
+  EXPECT_EQ(View(2).status.paused_term, 2U);
+  Run(200, 400);
+  EXPECT_EQ(View(2).status.paused_term, 0U);
+  EXPECT_TRUE(orders_.empty());
+}
+
+// The holder that ordered a promotion was replaced, and the order may still be
+// executed: a resumed replica would confirm commits that it discards.
+TEST_F(CoordinatorTest, ResumesNoReplicaBeforeTheAnnouncementEnds) {
+  coordinator_.AnnouncementRead(At(0), "group", "b");
+  View(2).status.paused_term = 2;
+  Run(0, 2400);
+  EXPECT_EQ(View(2).status.paused_term, 2U);
+  Run(2500, 3000);
+  EXPECT_EQ(View(2).status.paused_term, 0U);
+}
+
 TEST_F(CoordinatorTest, KeepsTheAnnouncementOfThePrimary) {
   announced_ = "a";
   coordinator_.AnnouncementRead(At(0), "group", "a");
--- a/testsuite/failover_random/failover_random_test.cc
+++ b/testsuite/failover_random/failover_random_test.cc
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <chrono>
 #include <string>
 #include <thread>
 #include <vector>
@@ -14,20 +15,26 @@
 namespace {
 
 constexpr uint64_t kRuns = 1000;
+constexpr uint64_t kLateRuns = 400;
+constexpr std::chrono::milliseconds kLateAnnouncement{900};
 constexpr uint64_t kThreads = 4;
 constexpr uint64_t kFirstSeed = 20261203;
 
-void RunSeeds(bool stay_active) {
+void RunSeeds(bool stay_active, uint64_t default_runs = kRuns,
+              std::chrono::milliseconds announcement_delay =
+                  std::chrono::milliseconds(5)) {
   const uint64_t first = FromEnvironment("RYEFOLD_SEED", kFirstSeed);
-  const uint64_t runs = FromEnvironment("RYEFOLD_RUNS", kRuns);
+  const uint64_t runs = FromEnvironment("RYEFOLD_RUNS", default_runs);
   std::vector<FailoverSum> sums(kThreads);
   std::vector<std::thread> threads;
   for (uint64_t thread = 0; thread < kThreads; ++thread) {
-    threads.emplace_back([thread, first, runs, stay_active, &sums] {
-      for (uint64_t i = thread; i < runs; i += kThreads) {
-        RunFailoverSeed(first + i, stay_active, &sums[thread]);
-      }
-    });
+    threads.emplace_back(
+        [thread, first, runs, stay_active, announcement_delay, &sums] {
+          for (uint64_t i = thread; i < runs; i += kThreads) {
+            RunFailoverSeed(first + i, stay_active, &sums[thread],
+                            announcement_delay);
+          }
+        });
   }
   FailoverSum sum;
   for (uint64_t thread = 0; thread < kThreads; ++thread) {
@@ -49,5 +56,11 @@
   RunSeeds(true);
 }
 
+// Instances hear of an order only while the promotion takes effect. Until then
+// they acknowledge commits that any replica has received.
+TEST(FailoverRandom, LosesNoAcknowledgedCommitBeforeAnnouncementsArrive) {
+  RunSeeds(false, kLateRuns, kLateAnnouncement);
+}
+
 }  // namespace
 }  // namespace ryefold::testsuite
--- a/testsuite/platform_lines/lines_test.cc
+++ b/testsuite/platform_lines/lines_test.cc
@@ -110,6 +110,14 @@
   out.clear();
   EncodeCall(BackendCall{}, &out);
   EXPECT_EQ(out, "QUERY - STATUS\r\n");
+  out.clear();
+  call = BackendCall{};
+  call.kind = CallKind::kPauseReplication;
+  call.term = 4;
+  EncodeCall(call, &out);
+  call.kind = CallKind::kResumeReplication;
+  EncodeCall(call, &out);
+  EXPECT_EQ(out, "QUERY - PAUSE 4\r\nQUERY - RESUME\r\n");
 }
 
 TEST(Replies, AreAssembledFromLines) {
@@ -135,6 +143,11 @@
   EXPECT_FALSE(reply.status->primary);
   EXPECT_EQ(reply.status->received, (LogPosition{3, 1209}));
   EXPECT_EQ(reply.status->connections, 17U);
+  EXPECT_EQ(reply.status->paused_term, 0U);
+  decoder.Feed("ROW replica 3 3.1209 4 12 2 17", true);
+  decoder.Feed("COMPLETE -", true);
+  decoder.Feed("READY I 3.1204", true);
+  EXPECT_EQ(decoder.TakeReply().status->paused_term, 4U);
 }
 
 // Guards against delivering rows to the wrong caller: a reply that ends early
--- a/testsuite/standins/lib/line_databases.cc
+++ b/testsuite/standins/lib/line_databases.cc
@@ -48,6 +48,11 @@
     call.kind = CallKind::kDiscard;
   } else if (word == "STATUS") {
     call.kind = CallKind::kStatus;
+  } else if (word == "PAUSE") {
+    call.kind = CallKind::kPauseReplication;
+    call.term = std::strtoull(rest.c_str(), nullptr, 10);
+  } else if (word == "RESUME") {
+    call.kind = CallKind::kResumeReplication;
   } else if (word == "SET" || word == "PARSE") {
     call.kind = word == "SET" ? CallKind::kSet : CallKind::kPrepare;
     call.name = TakeWord(&rest);
@@ -67,7 +72,8 @@
   return std::string(status.primary ? "primary " : "replica ") +
          std::to_string(status.term) + " " +
          std::to_string(status.received.term) + "." +
-         std::to_string(status.received.index) + " 0 0 0 1";
+         std::to_string(status.received.index) + " " +
+         std::to_string(status.paused_term) + " 0 0 1";
 }
 
 }  // namespace
--- a/testsuite/support/session/failover_fleet.h
+++ b/testsuite/support/session/failover_fleet.h
@@ -53,8 +53,12 @@
 /// time holds the duty and evaluates the group.
 class FailoverFleet {
  public:
-  explicit FailoverFleet(CheckedCallers* callers)
-      : callers_(callers), trace_(callers) {
+  /// `announcement_delay` is the time in which all instances hear of an order.
+  explicit FailoverFleet(CheckedCallers* callers,
+                         milliseconds announcement_delay = milliseconds(5))
+      : callers_(callers),
+        trace_(callers),
+        announcement_delay_(announcement_delay) {
     for (size_t i = 0; i < callers_->hosts(); ++i) {
       instances_.push_back(std::make_unique<Instance>(this, i));
     }
@@ -124,6 +128,12 @@
     void Probe(const std::string& group) override {
       proxy()->ProbeGroup(fleet_->clock().now(), group);
     }
+    void PauseReplication(const std::string& database, uint64_t term) override {
+      proxy()->PauseReplication(fleet_->clock().now(), database, term);
+    }
+    void ResumeReplication(const std::string& database) override {
+      proxy()->ResumeReplication(fleet_->clock().now(), database);
+    }
     void Announce(const std::string& group,
                   const std::string& database) override {
       fleet_->AnnounceToAll(group, database);
@@ -209,7 +219,7 @@
   }
 
   void AnnounceToAll(const std::string& group, const std::string& database) {
-    clock().After(milliseconds(5), [this, group, database] {
+    clock().After(announcement_delay_, [this, group, database] {
       announced_ = database;
       for (size_t i = 0; i < callers_->hosts(); ++i) {
         callers_->host(i).proxy()->ExpectPrimary(clock().now(), group,
@@ -221,6 +231,7 @@
 
   CheckedCallers* callers_;
   TraceSink trace_;
+  const milliseconds announcement_delay_;
   std::vector<std::unique_ptr<Instance>> instances_;
   std::optional<size_t> holder_ = 0;
   uint64_t token_ = 1;
--- a/testsuite/support/session/failover_run.h
+++ b/testsuite/support/session/failover_run.h
@@ -21,8 +21,9 @@
 /// five instances of which three hold database connections, so that the others
 /// forward their callers' statements.
 struct FailoverRun {
-  explicit FailoverRun(uint64_t seed)
-      : callers(seed, FleetSizeOf(seed)), failover(&callers) {}
+  explicit FailoverRun(uint64_t seed, milliseconds announcement_delay)
+      : callers(seed, FleetSizeOf(seed)),
+        failover(&callers, announcement_delay) {}
 
   static CheckedCallers::FleetSize FleetSizeOf(uint64_t seed) {
     if (seed % 2 == 0) return {kRunCallers, 2, 21};
@@ -178,9 +179,10 @@
 };
 
 /// Runs one seed and adds its counts to `sum`.
-inline void RunFailoverSeed(uint64_t seed, bool stay_active, FailoverSum* sum) {
+inline void RunFailoverSeed(uint64_t seed, bool stay_active, FailoverSum* sum,
+                            milliseconds announcement_delay = milliseconds(5)) {
   SCOPED_TRACE("seed " + std::to_string(seed));
-  FailoverRun run(seed);
+  FailoverRun run(seed, announcement_delay);
   if (stay_active) run.callers.cluster().KeepReplacedActive();
   for (int i = 0; i < kFaultsPerRun; ++i) {
     run.callers.Run(run.Duration(100, 1500));
--- a/testsuite/support/session/fake_cluster.h
+++ b/testsuite/support/session/fake_cluster.h
@@ -128,6 +128,7 @@
   void Crash(const std::string& id) {
     FakeDatabase& target = databases_.at(id);
     target.up = false;
+    target.paused_term = 0;
     target.queue.clear();
     target.running = 0;
     for (auto& [number, session] : sessions_) {
@@ -153,6 +154,7 @@
     ++term_;
     new_primary.primary = true;
     new_primary.term = term_;
+    new_primary.paused_term = 0;
     RecordDiscarded(new_primary);
     for (auto& [other, database] : databases_) {
       if (other == id) continue;
@@ -235,6 +237,7 @@
   void Follow(FakeDatabase* database, const FakeDatabase& new_primary) {
     database->primary = false;
     database->term = new_primary.term;
+    database->paused_term = 0;
     database->reaches_successor_since = TimePoint();
     size_t same = 0;
     while (same < database->log.size() && same < new_primary.log.size() &&
@@ -252,7 +255,7 @@
     for (const auto& [id, other] : databases_) {
       const bool is_candidate = other.primary && other.up && id != database.id;
       if (!is_candidate || database.partitioned_from.count(id) > 0) continue;
-      if (other.term < database.term) continue;
+      if (other.term < std::max(database.term, database.paused_term)) continue;
       if (best == nullptr || other.term > best->term) best = &other;
     }
     return best;
@@ -297,7 +300,7 @@
     const BackendCall call = session.calls.front().first;
     const bool needs_slot = call.kind == CallKind::kVerbatim ||
                             call.kind == CallKind::kExecute ||
-                            call.kind == CallKind::kStatus;
+                            core::session::ReturnsStatus(call.kind);
     if (needs_slot) {
       AcquireSlot(number);
     } else {
@@ -406,6 +409,14 @@
         return MakeReply(*session, database);
       case CallKind::kStatus:
         return ReportStatus(session, &database);
+      case CallKind::kPauseReplication:
+        if (!database.primary && call.term > database.term) {
+          database.paused_term = call.term;
+        }
+        return ReportStatus(session, &database);
+      case CallKind::kResumeReplication:
+        database.paused_term = 0;
+        return ReportStatus(session, &database);
       case CallKind::kVerbatim:
       case CallKind::kExecute:
         return ExecuteStatement(session, &database, call);
@@ -429,6 +440,7 @@
     core::session::StatusReport report;
     report.primary = database->primary;
     report.term = database->term;
+    report.paused_term = database->paused_term;
     if (!database->log.empty()) report.received = database->log.back().position;
     reply.status = report;
     return reply;
--- a/testsuite/support/session/fake_database.h
+++ b/testsuite/support/session/fake_database.h
@@ -57,6 +57,9 @@
   bool up = true;
   /// Whether replication from the primary is stopped.
   bool detached = false;
+  /// Primaries of terms below this one do not replicate to the database; 0 if
+  /// it is not paused.
+  uint64_t paused_term = 0;
   milliseconds lag{20};
   /// Added to the execution time of every statement.
   milliseconds extra_latency{0};
