--- a/src/include/ryefold/core/failover/coordinator.h
+++ b/src/include/ryefold/core/failover/coordinator.h
@@ -119,7 +119,7 @@
 
   /// Whether a promotion waits for nothing but answers of replicas, so that it
   /// should be evaluated again within milliseconds.
-  bool AwaitsReplicas() const;
+  bool AwaitsReplies() const;
 
  private:
   struct GroupState {
@@ -193,8 +193,10 @@
   static bool MayLackPresentTerm(const session::GroupView& group,
                                  const GroupState& state,
                                  const session::DatabaseView& candidate);
-  bool IsEligible(const session::GroupView& group,
-                  const session::DatabaseView& database, TimePoint now) const;
+  static const session::DatabaseView* FindPrimary(
+      const session::GroupView& group);
+  bool IsEligible(TimePoint now, const session::GroupView& group,
+                  const session::DatabaseView& database) const;
   const session::DatabaseView* FindMostAdvanced(TimePoint now,
                                                 const session::GroupView& group,
                                                 const GroupState& state) const;
@@ -204,8 +206,13 @@
   std::vector<const session::DatabaseView*> UnpausedReplicas(
       TimePoint now, const session::GroupView& group, const GroupState& state,
       const session::DatabaseView& candidate) const;
-  bool AwaitsPause(TimePoint now, const session::GroupView& group,
-                   const session::DatabaseView& candidate, GroupState* state);
+  bool PauseOtherReplicas(TimePoint now, const session::GroupView& group,
+                          const session::DatabaseView& candidate,
+                          GroupState* state);
+  void RequestPauses(TimePoint now, const session::GroupView& group,
+                     const session::DatabaseView& candidate,
+                     const std::vector<const session::DatabaseView*>& replicas,
+                     const GroupState& state);
   void ResumeReplicas(TimePoint now, const session::GroupView& group,
                       GroupState* state);
   /// Returns why the promotion has to wait; empty if it does not.
--- a/src/ryefoldd/gateway_failover.cc
+++ b/src/ryefoldd/gateway_failover.cc
@@ -118,7 +118,7 @@
   }
   surroundings_.flush();
   const milliseconds pace =
-      coordinator_.AwaitsReplicas() ? kReplicaAnswerPace : kObservePace;
+      coordinator_.AwaitsReplies() ? kReplicaAnswerPace : kObservePace;
   observe_timer_ =
       surroundings_.loop->At(steady_clock::now() + pace, [this] { Observe(); });
 }
