Replicas stay paused after an order without an answer

An order that got no answer may still be executed. If its announcement has not been read from the store by then, a new term of the duty resumed the replicas as soon as the primary answered again, and a replica would confirm commits that the order discards. Found by reading, not seen in a run; the test fails on the code before. The holder records its own announcements when it makes them.

--- a/src/libcore/failover/coordinator.cc
+++ b/src/libcore/failover/coordinator.cc
@@ -317,6 +317,8 @@
   // Announced before the answer, which may be lost although the order takes
   // effect: meanwhile only what the candidate receives may be acknowledged.
   port_->Announce(group.group, candidate.id);
+  // The store may deliver the announcement late, or not at all.
+  AnnouncementRead(now, group.group, candidate.id);
 }
 
 void Coordinator::PromotionAnswered(TimePoint now, const std::string& group,
@@ -335,6 +337,7 @@
     case PromotionOutcome::kNotRunning:
     case PromotionOutcome::kNotExecuted:
       port_->Announce(group, "");
+      announcements_.erase(group);
       state.promotion_deadline = TimePoint();
       state.next_probe_at = now;
       state.no_primary_since =
--- a/testsuite/failover_coordinator/coordinator_test.cc
+++ b/testsuite/failover_coordinator/coordinator_test.cc
@@ -557,6 +557,23 @@
   EXPECT_EQ(View(2).status.paused_term, 0U);
 }
 
+// An order gets no answer, its announcement does not reach the store in time,
+// and the primary answers again. The order may still be executed: a resumed
+// replica would confirm commits that it discards.
+TEST_F(CoordinatorTest, ResumesNoReplicaAfterAnOrderWithoutAnswer) {
+  View(0).refusals = 5;
+  Run(0, 100);
+  ASSERT_EQ(orders_.size(), 1U);
+  coordinator_.PromotionAnswered(At(300), "group", 7,
+                                 PromotionOutcome::kUnknown);
+  Run(400, 400, std::nullopt);
+  View(0).refusals = 0;
+  Run(500, 2500, 9);
+  EXPECT_EQ(View(2).status.paused_term, 2U);
+  Run(2600, 3000, 9);
+  EXPECT_EQ(View(2).status.paused_term, 0U);
+}
+
 TEST_F(CoordinatorTest, KeepsTheAnnouncementOfThePrimary) {
   announced_ = "a";
   coordinator_.AnnouncementRead(At(0), "group", "a");
