--- a/testsuite/failover_coordinator/coordinator_test.cc
+++ b/testsuite/failover_coordinator/coordinator_test.cc
@@ -462,8 +462,7 @@
   EXPECT_EQ(announced_, "");
 }
 
-// The primary is unreachable for this instance alone. A replica receives a
-// commit after it was read, which another instance acknowledges.
+// A commit that a replica receives after it was read is lost by the promotion.
 TEST_F(CoordinatorTest, OrdersNothingWhileAnotherReplicaReceives) {
   View(0).refusals = 5;
   Run(0, 0);
@@ -484,8 +483,7 @@
   EXPECT_EQ(orders_.size(), 1U);
 }
 
-// A replica becomes unreachable before it answers the pause, and reachable
-// again after more than the time for which a pause is waited for.
+// The time for a pause passes while the replica is unreachable.
 TEST_F(CoordinatorTest, PausesAReplicaThatAnswersAgain) {
   Run(0, 1000);
   unreachable_ = {"a"};
@@ -504,9 +502,7 @@
   EXPECT_EQ(View(2).status.paused_term, 2U);
 }
 
-// Commits go on during a planned change. The candidate receives what the paused
-// replica has, so the pause must not move to the candidate: nothing could be
-// confirmed during the promotion.
+// A paused candidate would confirm no commits during a planned change.
 TEST_F(CoordinatorTest, LetsTheCandidateOfALivePrimaryCatchUp) {
   View(0).draining = true;
   Run(0, 0);
@@ -522,8 +518,7 @@
   EXPECT_EQ(View(2).status.paused_term, 2U);
 }
 
-// The candidate of a live primary no longer receives. The paused replica, which
-// has more, is promoted instead.
+// A candidate that no longer receives would block the promotion for good.
 TEST_F(CoordinatorTest, PromotesThePausedReplicaIfTheCandidateStaysBehind) {
   View(0).draining = true;
   Run(0, 0);
@@ -533,8 +528,7 @@
   EXPECT_EQ(orders_[0].database, "c");
 }
 
-// The primary answers again before the order. The paused replica would fall
-// behind for good.
+// A replica that stays paused after a false alarm falls behind for good.
 TEST_F(CoordinatorTest, ResumesReplicasWhenThePrimaryRecovers) {
   View(0).refusals = 5;
   Run(0, 0);
@@ -546,8 +540,7 @@
   EXPECT_TRUE(orders_.empty());
 }
 
-// The holder that ordered a promotion was replaced, and the order may still be
-// executed: a resumed replica would confirm commits that it discards.
+// A replica resumed under another holder's order confirms what it discards.
 TEST_F(CoordinatorTest, ResumesNoReplicaBeforeTheAnnouncementEnds) {
   coordinator_.AnnouncementRead(At(0), "group", "b");
   View(2).status.paused_term = 2;
@@ -557,9 +550,7 @@
   EXPECT_EQ(View(2).status.paused_term, 0U);
 }
 
-// An order gets no answer, its announcement does not reach the store in time,
-// and the primary answers again. The order may still be executed: a resumed
-// replica would confirm commits that it discards.
+// The same under an own order, before the store delivers its announcement.
 TEST_F(CoordinatorTest, ResumesNoReplicaAfterAnOrderWithoutAnswer) {
   View(0).refusals = 5;
   Run(0, 100);
--- a/testsuite/failover_random/failover_random_test.cc
+++ b/testsuite/failover_random/failover_random_test.cc
@@ -56,8 +56,7 @@
   RunSeeds(true);
 }
 
-// Instances hear of an order only while the promotion takes effect. Until then
-// they acknowledge commits that any replica has received.
+// Until instances hear of an order they acknowledge what any replica received.
 TEST(FailoverRandom, LosesNoAcknowledgedCommitBeforeAnnouncementsArrive) {
   RunSeeds(false, kLateRuns, kLateAnnouncement);
 }
--- a/testsuite/session_proxy/replication_test.cc
+++ b/testsuite/session_proxy/replication_test.cc
@@ -19,8 +19,7 @@
   }
 };
 
-// A replica that still received after its position was read would confirm
-// commits that the promotion of another one discards.
+// A replica that still receives confirms commits that a promotion discards.
 TEST_F(ReplicationTest, APausedReplicaReceivesNothingUntilItIsResumed) {
   CreateInstances(1);
   StartSession(0, 1, "primary");
@@ -39,8 +38,7 @@
   EXPECT_EQ(KnownPause("db-b"), 0U);
 }
 
-// Callers keep all connections of a replica in use. The promotion waits for the
-// pause, so it goes out before the statements that are queued.
+// A pause that waits behind callers' statements would delay the promotion.
 TEST_F(ReplicationTest, PausesABusyReplica) {
   fleet_.connection_limit = 3;
   CreateInstances(1);
