A new holder of the duty resumes no replica that an order may need

What callers saw: five acknowledged commits were gone (failover_resumed_replica of failover_random with announcements that take 900 ms).

Cause: the duty moved while an order was in progress. The new holder had no announcement yet, saw a paused replica and a primary that answered, and resumed the replica, which confirmed commits that the order discarded. In the trace replication_resumed stands 183 ms before the promotion takes effect. Ruled out: an order without a pause (unpaused=0).

Change: a holder resumes replicas only once an order of an earlier holder has taken effect or expired.

--- a/src/include/ryefold/core/failover/coordinator.h
+++ b/src/include/ryefold/core/failover/coordinator.h
@@ -124,6 +124,9 @@
  private:
   struct GroupState {
     TimePoint next_probe_at;
+    /// When an order that an earlier holder of the duty sent has taken effect
+    /// or expired; paused replicas are not resumed before.
+    TimePoint earlier_orders_end;
     /// Newest term reported by any database.
     uint64_t term = 0;
     /// Last known primary.
--- a/src/libcore/failover/coordinator.cc
+++ b/src/libcore/failover/coordinator.cc
@@ -139,7 +139,7 @@
                                  GroupState* state) {
   state->candidate.clear();
   if (announcements_.count(group.group) > 0) return;
-  if (now < state->next_pause_at) return;
+  if (now < state->earlier_orders_end || now < state->next_pause_at) return;
   for (const DatabaseView& database : group.databases) {
     if (database.status.paused_term == 0) continue;
     state->next_pause_at = now + timing_.pause_interval;
@@ -231,7 +231,9 @@
 
 void Coordinator::EvaluateGroup(TimePoint now, const GroupView& group,
                                 uint64_t token) {
-  GroupState& state = groups_[group.group];
+  const auto [found, is_new] = groups_.try_emplace(group.group);
+  GroupState& state = found->second;
+  if (is_new) state.earlier_orders_end = now + timing_.promotion_timeout;
   UpdateLeadership(now, group, &state);
   const bool promoting = now < state.promotion_deadline;
   if (promoting && group.primary != state.ordered_database) return;
