--- a/src/include/ryefold/core/failover/coordinator.h
+++ b/src/include/ryefold/core/failover/coordinator.h
@@ -124,8 +124,7 @@
  private:
   struct GroupState {
     TimePoint next_probe_at;
-    /// When an order that an earlier holder of the duty sent has taken effect
-    /// or expired; paused replicas are not resumed before.
+    /// Until when an order of an earlier holder of the duty may take effect.
     TimePoint earlier_orders_end;
     /// Newest term reported by any database.
     uint64_t term = 0;
@@ -228,6 +227,11 @@
   static std::string DescribeDatabases(TimePoint now,
                                        const session::GroupView& group,
                                        const GroupState& state);
+  void PromoteOrDefer(TimePoint now, const session::GroupView& group,
+                      const std::string& cause, uint64_t token,
+                      GroupState* state);
+  void RecordAnnouncement(TimePoint now, const std::string& group,
+                          const std::string& database);
   void OrderPromotion(TimePoint now, const session::GroupView& group,
                       const session::DatabaseView& candidate,
                       const std::string& cause, uint64_t token,
--- a/src/libcore/failover/coordinator.cc
+++ b/src/libcore/failover/coordinator.cc
@@ -94,6 +94,7 @@
   state->newest_received = received;
 }
 
+/// Asks the replicas to stop receiving under the present term.
 void Coordinator::RequestPauses(
     TimePoint now, const GroupView& group, const DatabaseView& candidate,
     const std::vector<const DatabaseView*>& replicas, const GroupState& state) {
@@ -134,7 +135,8 @@
 }
 
 /// Resumes replicas that were paused for a promotion which did not take effect.
-/// An announced promotion may still take effect and needs them paused.
+/// One that is announced, or that an earlier holder of the duty ordered, may
+/// still take effect and needs them paused.
 void Coordinator::ResumeReplicas(TimePoint now, const GroupView& group,
                                  GroupState* state) {
   state->candidate.clear();
@@ -252,17 +254,24 @@
     return;
   }
   if (state.needed_since == TimePoint()) state.needed_since = now;
-  const DatabaseView* candidate = ChooseCandidate(now, group, state);
-  std::string deferral = DeferralReason(now, group, state, candidate);
+  PromoteOrDefer(now, group, cause, token, &state);
+}
+
+/// Orders a necessary promotion, or records why it has to wait. The other
+/// replicas are paused while statuses are awaited: the reply to a pause is one.
+void Coordinator::PromoteOrDefer(TimePoint now, const GroupView& group,
+                                 const std::string& cause, uint64_t token,
+                                 GroupState* state) {
+  const DatabaseView* candidate = ChooseCandidate(now, group, *state);
+  std::string deferral = DeferralReason(now, group, *state, candidate);
   if (deferral.empty() || deferral == kStaleStatus) {
-    const bool awaits_pause =
-        PauseOtherReplicas(now, group, *candidate, &state);
+    const bool awaits_pause = PauseOtherReplicas(now, group, *candidate, state);
     if (awaits_pause && deferral.empty()) deferral = kNotPaused;
   }
   if (deferral.empty()) {
-    OrderPromotion(now, group, *candidate, cause, token, &state);
+    OrderPromotion(now, group, *candidate, cause, token, state);
   } else {
-    DeferPromotion(now, group, cause, deferral, &state);
+    DeferPromotion(now, group, cause, deferral, state);
   }
 }
 
@@ -271,10 +280,15 @@
   if (database.empty()) {
     announcements_.erase(group);
   } else {
-    announcements_[group] = {database, now + timing_.promotion_timeout};
+    RecordAnnouncement(now, group, database);
   }
 }
 
+void Coordinator::RecordAnnouncement(TimePoint now, const std::string& group,
+                                     const std::string& database) {
+  announcements_[group] = {database, now + timing_.promotion_timeout};
+}
+
 void Coordinator::WithdrawOutdatedAnnouncement(TimePoint now,
                                                const GroupView& group) {
   const auto found = announcements_.find(group.group);
@@ -320,7 +334,7 @@
   // effect: meanwhile only what the candidate receives may be acknowledged.
   port_->Announce(group.group, candidate.id);
   // The store may deliver the announcement late, or not at all.
-  AnnouncementRead(now, group.group, candidate.id);
+  RecordAnnouncement(now, group.group, candidate.id);
 }
 
 void Coordinator::PromotionAnswered(TimePoint now, const std::string& group,
--- a/src/libcore/failover/coordinator_candidate.cc
+++ b/src/libcore/failover/coordinator_candidate.cc
@@ -10,6 +10,7 @@
 using session::GroupView;
 using std::chrono::milliseconds;
 
+/// Returns the presumed primary; nullptr if it is unknown or not listed.
 const DatabaseView* Coordinator::FindPrimary(const GroupView& group) {
   for (const DatabaseView& database : group.databases) {
     if (database.id == group.primary) return &database;
--- a/testsuite/session_proxy/proxy_fixture.h
+++ b/testsuite/session_proxy/proxy_fixture.h
@@ -65,6 +65,16 @@
     return Execute(host, caller, StatementKind::kRead, "READ k");
   }
 
+  /// Starts callers 1 and 2 at one instance and lets the first one's write
+  /// reach the replicas.
+  void StartTwoCallersAndWrite() {
+    CreateInstances(1);
+    StartSession(0, 1, "primary");
+    StartSession(0, 2, "primary");
+    EXPECT_EQ(Write(0, 1), ErrorCode::kNone);
+    RunFor(50);
+  }
+
   VirtualClock clock_;
   FakeCluster cluster_;
   FakeFleet fleet_;
--- a/testsuite/session_proxy/proxy_test.cc
+++ b/testsuite/session_proxy/proxy_test.cc
@@ -167,11 +167,7 @@
 // promoted. The new primary accepts a begin before it reports its term. What
 // the first replica received no longer counts: the promotion discarded it.
 TEST_F(ProxyTest, AcknowledgesNoCommitThatTheNewPrimaryLacks) {
-  CreateInstances(1);
-  StartSession(0, 1, "primary");
-  StartSession(0, 2, "primary");
-  EXPECT_EQ(Write(0, 1), ErrorCode::kNone);
-  RunFor(50);
+  StartTwoCallersAndWrite();
   cluster_.database("db-c").detached = true;
   cluster_.database("db-c").extra_latency = milliseconds(600);
   hosts_[0]->proxy()->ExpectPrimary(clock_.now(), "group", "db-c");
@@ -228,11 +224,7 @@
 // old one accepts does not show that the promotion took effect: commits of the
 // one in between are still going to be discarded.
 TEST_F(ProxyTest, AwaitsAPromotionUntilItsTermIsReported) {
-  CreateInstances(1);
-  StartSession(0, 1, "primary");
-  StartSession(0, 2, "primary");
-  EXPECT_EQ(Write(0, 1), ErrorCode::kNone);
-  RunFor(50);
+  StartTwoCallersAndWrite();
   cluster_.KeepReplacedActive();
   cluster_.Partition("db-a", "db-b");
   cluster_.Partition("db-a", "db-c");
