Keepers follow from the difference between two lists of instances

Cause: each change of the list of instances ranked all instances for all groups at every instance: with 1,000 groups and 985 instances 985,000 rankings of two hashes each, and a rolling restart changes the list each second.

Change: KeeperAssignment holds the first candidates of each group. An instance that joins costs one hash for each group, one that leaves a ranking of the groups that it kept. The answers are those of ChooseKeepers (property test over random lists).

Test: session_keepers; the hashes for a replacement at 2,000 instances and groups against 250 grow as the fleet does, eightfold; ranking anew takes 64 times.

--- a/src/include/ryefold/core/session/forwarding.h
+++ b/src/include/ryefold/core/session/forwarding.h
@@ -117,6 +117,13 @@
 /// in flight at a database that runs `slots` concurrently.
 uint32_t InFlightLimit(uint32_t slots, size_t holders);
 
+/// Returns the seed of an instance's hashes in rendezvous hashing.
+uint64_t RendezvousSeed(std::string_view instance);
+
+/// Returns the hash by which an instance with this seed ranks for `key`; the
+/// lowest comes first.
+uint64_t RendezvousHash(std::string_view key, uint64_t seed);
+
 /// Returns the number of candidates before `instance` in rendezvous hashing
 /// order for `key`.
 size_t RendezvousRank(std::string_view key, const std::string& instance,
--- a/src/libcore/session/forwarding.cc
+++ b/src/libcore/session/forwarding.cc
@@ -42,13 +42,20 @@
   return connection_limit * percent / 100;
 }
 
-uint64_t RendezvousHash(std::string_view group, const std::string& instance) {
-  return XXH64(group.data(), group.size(),
-               XXH64(instance.data(), instance.size(), 0));
+uint64_t HashOf(std::string_view key, const std::string& instance) {
+  return RendezvousHash(key, RendezvousSeed(instance));
 }
 
 }  // namespace
 
+uint64_t RendezvousSeed(std::string_view instance) {
+  return XXH64(instance.data(), instance.size(), 0);
+}
+
+uint64_t RendezvousHash(std::string_view key, uint64_t seed) {
+  return XXH64(key.data(), key.size(), seed);
+}
+
 size_t KeeperCount(uint32_t connection_limit, size_t instances,
                    bool by_workspace) {
   const bool all_fit = instances * kDirectConnections <= connection_limit;
@@ -74,11 +81,11 @@
 
 size_t RendezvousRank(std::string_view key, const std::string& instance,
                       const std::vector<KeeperCandidate>& candidates) {
-  const uint64_t own_hash = RendezvousHash(key, instance);
+  const uint64_t own_hash = HashOf(key, instance);
   return static_cast<size_t>(
       std::count_if(candidates.begin(), candidates.end(),
                     [key, own_hash](const KeeperCandidate& each) {
-                      return RendezvousHash(key, each.instance) < own_hash;
+                      return HashOf(key, each.instance) < own_hash;
                     }));
 }
 
@@ -88,7 +95,7 @@
   std::vector<std::pair<uint64_t, size_t>> ranked;
   ranked.reserve(candidates.size());
   for (size_t i = 0; i < candidates.size(); ++i) {
-    ranked.emplace_back(RendezvousHash(group, candidates[i].instance), i);
+    ranked.emplace_back(HashOf(group, candidates[i].instance), i);
   }
   const size_t chosen = std::min(count, ranked.size());
   std::partial_sort(ranked.begin(),
--- a/src/libcore/session/proxy_impl.h
+++ b/src/libcore/session/proxy_impl.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "ryefold/core/session/isolation.h"
+#include "ryefold/core/session/keeper_assignment.h"
 #include "ryefold/core/session/proxy.h"
 #include "state.h"
 
@@ -160,6 +161,7 @@
   void ProbeKeepers(TimePoint now, const Group& group);
   void ProbePeers(TimePoint now);
   void AssignKeepers(TimePoint now);
+  void UpdateKeepers(TimePoint now, Group* group);
   const KeeperCandidate* ChooseKeeper(TimePoint now, const Request& request,
                                       const Group& group) const;
   bool LacksPrimary(TimePoint now, const Request& request, const Group& group,
@@ -326,6 +328,7 @@
   bool have_instances_ = false;
   TimePoint instances_since_;
   std::vector<KeeperCandidate> instances_;
+  KeeperAssignment keeper_assignment_;
   IsolationDetector isolation_;
   /// Instances with a pending probe, and the time at which it was sent.
   std::map<std::string, TimePoint> pending_probes_;
--- a/src/libcore/session/proxy_instances.cc
+++ b/src/libcore/session/proxy_instances.cc
@@ -41,6 +41,10 @@
   // Names sort by failure domain, and a failure domain can fail as a whole.
   std::shuffle(others.begin(), others.end(), std::mt19937_64(settings_.seed));
   isolation_.SetPeers(std::move(others));
+  for (const std::string& name : keeper_assignment_.SetCandidates(instances_)) {
+    Group* group = FindGroup(name);
+    if (group != nullptr) UpdateKeepers(now, group);
+  }
   AssignKeepers(now);
   ServeAllQueues(now);
 }
@@ -116,31 +120,36 @@
 /// databases reset connections beyond their limit, and callers wait.
 void Proxy::Impl::AssignKeepers(TimePoint now) {
   if (!have_instances_) return;
-  for (auto& [name, group] : groups_) {
+  for (const auto& [name, group] : groups_) {
     const size_t count =
         KeeperCount(group->limits.connection_limit, instances_.size(),
                     workspaces_.keys_required());
-    std::vector<KeeperCandidate> keepers;
-    if (count > 0) keepers = ChooseKeepers(name, instances_, count);
-    const bool selected = std::any_of(
-        keepers.begin(), keepers.end(),
-        [this](const KeeperCandidate& each) { return each.instance == self_; });
-    const bool is_keeper = count == 0 || selected;
-    if (is_keeper != group->is_keeper) {
-      Event(events_, EventPriority::kState,
-            is_keeper ? "group_kept" : "group_left")
-          .Add("group", name)
-          .Add("keepers", keepers.size())
-          .Add("instances", instances_.size());
-    }
-    group->is_keeper = is_keeper;
-    group->keepers = std::move(keepers);
-    group->keepers_by_domain.clear();
-    for (const KeeperCandidate& each : group->keepers) {
-      group->keepers_by_domain[each.failure_domain].push_back(each);
-    }
-    if (is_keeper) OpenStandbyConnections(now, *group);
+    const bool changed = keeper_assignment_.SetCount(name, count);
+    if (changed || !group->keepers_assigned) UpdateKeepers(now, group.get());
+  }
+}
+
+/// Takes over the group's keepers from the assignment.
+void Proxy::Impl::UpdateKeepers(TimePoint now, Group* group) {
+  group->keepers_assigned = true;
+  group->keepers = keeper_assignment_.keepers(group->name);
+  const bool selected = std::any_of(
+      group->keepers.begin(), group->keepers.end(),
+      [this](const KeeperCandidate& each) { return each.instance == self_; });
+  const bool is_keeper = selected || keeper_assignment_.count(group->name) == 0;
+  if (is_keeper != group->is_keeper) {
+    Event(events_, EventPriority::kState,
+          is_keeper ? "group_kept" : "group_left")
+        .Add("group", group->name)
+        .Add("keepers", group->keepers.size())
+        .Add("instances", instances_.size());
+  }
+  group->is_keeper = is_keeper;
+  group->keepers_by_domain.clear();
+  for (const KeeperCandidate& each : group->keepers) {
+    group->keepers_by_domain[each.failure_domain].push_back(each);
   }
+  if (is_keeper) OpenStandbyConnections(now, *group);
 }
 
 /// Returns the keeper with the lowest cost: fewest statements in flight, with
--- a/src/libcore/session/state.h
+++ b/src/libcore/session/state.h
@@ -267,6 +267,8 @@
   /// its statements go to `keepers`. With forwarding, false until the instances
   /// are known.
   bool is_keeper = true;
+  /// Whether `keepers` and `is_keeper` follow from the list of instances.
+  bool keepers_assigned = false;
   /// Empty when every instance is a keeper.
   std::vector<KeeperCandidate> keepers;
   /// `keepers` by failure domain.
