--- a/src/include/ryefold/core/session/keeper_assignment.h
+++ b/src/include/ryefold/core/session/keeper_assignment.h
@@ -42,7 +42,6 @@
 
   struct Candidate {
     CandidateId id = 0;
-    KeeperCandidate keeper;
     /// Seed of the candidate's hash for each group.
     uint64_t seed = 0;
   };
@@ -56,7 +55,10 @@
   bool Insert(const std::string& group, const Candidate& candidate,
               Ranking* ranking);
 
-  std::map<CandidateId, Candidate> candidates_;
+  /// By ascending id. Apart from the names, so that a ranking of all candidates
+  /// reads little memory.
+  std::vector<Candidate> candidates_;
+  std::map<CandidateId, KeeperCandidate> names_;
   std::map<std::string, CandidateId> ids_;
   CandidateId last_id_ = 0;
   std::map<std::string, Ranking> rankings_;
--- a/src/libcore/session/keeper_assignment.cc
+++ b/src/libcore/session/keeper_assignment.cc
@@ -20,35 +20,36 @@
 void KeeperAssignment::RankAll(const std::string& group, Ranking* ranking) {
   ranking->first.clear();
   if (ranking->count == 0) return;
-  for (const auto& [id, candidate] : candidates_) {
-    Insert(group, candidate, ranking);
-  }
+  for (const Candidate& each : candidates_) Insert(group, each, ranking);
 }
 
 std::vector<std::string> KeeperAssignment::SetCandidates(
     const std::vector<KeeperCandidate>& candidates) {
   std::map<std::string, CandidateId> previous = std::exchange(ids_, {});
-  std::vector<const Candidate*> joined;
+  std::vector<Candidate> joined;
   for (const KeeperCandidate& each : candidates) {
     const auto known = previous.find(each.instance);
-    const bool same = known != previous.end() &&
-                      candidates_.at(known->second).keeper.failure_domain ==
-                          each.failure_domain;
+    const bool same =
+        known != previous.end() &&
+        names_.at(known->second).failure_domain == each.failure_domain;
     if (same) {
       ids_.insert(previous.extract(known));
       continue;
     }
     const CandidateId id = ++last_id_;
     ids_[each.instance] = id;
-    Candidate& candidate = candidates_[id];
-    candidate = {id, each, RendezvousSeed(each.instance)};
-    joined.push_back(&candidate);
+    names_[id] = each;
+    joined.push_back({id, RendezvousSeed(each.instance)});
   }
   std::set<CandidateId> left;
   for (const auto& [instance, id] : previous) {
     left.insert(id);
-    candidates_.erase(id);
+    names_.erase(id);
   }
+  std::erase_if(candidates_, [&left](const Candidate& each) {
+    return left.count(each.id) > 0;
+  });
+  candidates_.insert(candidates_.end(), joined.begin(), joined.end());
   std::vector<std::string> changed;
   for (auto& [group, ranking] : rankings_) {
     if (ranking.count == 0) continue;
@@ -59,8 +60,8 @@
     if (lost) {
       RankAll(group, &ranking);
     } else {
-      for (const Candidate* candidate : joined) {
-        if (Insert(group, *candidate, &ranking)) affected = true;
+      for (const Candidate& each : joined) {
+        if (Insert(group, each, &ranking)) affected = true;
       }
     }
     if (affected) changed.push_back(group);
@@ -87,7 +88,7 @@
   const auto found = rankings_.find(group);
   if (found == rankings_.end()) return keepers;
   for (const Rank& each : found->second.first) {
-    keepers.push_back(candidates_.at(each.second).keeper);
+    keepers.push_back(names_.at(each.second));
   }
   return keepers;
 }
