Databases are decoded and applied by what changed of them

Cause: each change of one database's entry decoded the entries of all databases again, replaced the whole list and walked over all databases and groups; a new configuration did the same. Their number grows with the fleet, and so does the rate of their changes.

Change: the directory decodes the entries that changed and reports them as a RosterChange; the proxy updates those databases and their groups. A configuration looks at the whole list only if it brings new groups. Additions of more than 20 databases at once are logged in one line, databases_listed: a start wrote a line for each of 3,000 databases and 1,000 primaries.

Test: ReportsOnlyTheDatabasesThatChanged; session_directory publishes whole lists and changes in turn.

--- a/src/bench/growth.cc
+++ b/src/bench/growth.cc
@@ -116,7 +116,7 @@
 
   void ReadAll() {
     proxy_.SetInstances(Now(), instances_.front().instance, instances_);
-    directory_.OnEntriesChanged(entries_, entries_);
+    directory_.OnEntriesChanged(entries_);
     OpenAll();
   }
   void Join(size_t number) {
@@ -131,12 +131,12 @@
   }
   void ChangeDatabase(size_t number) {
     const std::string key = PutDatabase(number, 1);
-    directory_.OnEntriesChanged(entries_, {{key, entries_.at(key)}});
+    directory_.OnEntriesChanged({{key, entries_.at(key)}});
     OpenAll();
   }
   void ChangeConfig(uint64_t version) {
     const std::string key = PutConfig(version);
-    directory_.OnEntriesChanged(entries_, {{key, entries_.at(key)}});
+    directory_.OnEntriesChanged({{key, entries_.at(key)}});
     OpenAll();
   }
   /// Lets one second pass.
--- a/src/include/ryefold/core/session/directory.h
+++ b/src/include/ryefold/core/session/directory.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "ryefold/core/workspace/workspaces.h"
 
@@ -79,4 +80,12 @@
 /// All databases by id.
 using Roster = std::map<std::string, Database>;
 
+/// What changed in the list of databases.
+struct RosterChange {
+  /// Databases that were added or whose entry changed.
+  Roster listed;
+  /// Ids that are no longer listed.
+  std::vector<std::string> unlisted;
+};
+
 }  // namespace ryefold::core::session
--- a/src/include/ryefold/core/session/port.h
+++ b/src/include/ryefold/core/session/port.h
@@ -46,7 +46,8 @@
  public:
   virtual ~DirectoryListener() = default;
   virtual void OnRoutes(TimePoint now, const RouteTable& routes) = 0;
-  virtual void OnRoster(TimePoint now, const Roster& roster) = 0;
+  /// The first change holds all databases, and is reported if there are none.
+  virtual void OnRosterChange(TimePoint now, const RosterChange& change) = 0;
 };
 
 }  // namespace ryefold::core::session
--- a/src/include/ryefold/core/session/proxy.h
+++ b/src/include/ryefold/core/session/proxy.h
@@ -120,7 +120,10 @@
   void CallAnswered(TimePoint now, ConnectionId connection, Reply reply);
 
   void OnRoutes(TimePoint now, const RouteTable& routes) override;
-  void OnRoster(TimePoint now, const Roster& roster) override;
+  void OnRosterChange(TimePoint now, const RosterChange& change) override;
+
+  /// Replaces the list of databases by `roster`.
+  void OnRoster(TimePoint now, const Roster& roster);
 
   /// Enables forwarding: statements of groups whose keepers are other instances
   /// are sent there, and statements forwarded by other instances run here.
--- a/src/libcore/session/proxy.cc
+++ b/src/libcore/session/proxy.cc
@@ -174,6 +174,9 @@
 void Proxy::OnRoster(TimePoint now, const Roster& roster) {
   impl_->OnRoster(now, roster);
 }
+void Proxy::OnRosterChange(TimePoint now, const RosterChange& change) {
+  impl_->OnRosterChange(now, change);
+}
 void Proxy::SetForwarder(Forwarder* forwarder) {
   impl_->SetForwarder(forwarder);
 }
--- a/src/libcore/session/proxy_directory.cc
+++ b/src/libcore/session/proxy_directory.cc
@@ -15,6 +15,10 @@
 /// while the store is unavailable and return within two seconds after it
 /// recovers.
 constexpr milliseconds kUnlistedGracePeriod{2500};
+/// Databases in one change up to which each addition and each presumed primary
+/// is logged. Those of a larger change, as the first list of a fleet, are
+/// counted in one line.
+constexpr size_t kMaxLoggedAdditions = 20;
 /// Interval between updates of queue weights while statements wait.
 constexpr milliseconds kWeightUpdateInterval{1000};
 
@@ -50,6 +54,11 @@
       .Add("version", routes.version)
       .Add("previous", route_table_.version)
       .Add("routes", routes.routes.size());
+  // Databases of groups that were not configured are not in use yet.
+  const bool groups_added = std::any_of(
+      routes.groups.begin(), routes.groups.end(), [this](const auto& each) {
+        return route_table_.groups.count(each.first) == 0;
+      });
   route_table_ = routes;
   const bool keys_revoked = workspaces_.Replace(routes.workspaces);
   have_routes_ = true;
@@ -57,9 +66,7 @@
   for (const auto& [name, limits] : route_table_.groups) {
     EnsureGroup(name)->limits = limits;
   }
-  // Databases of a group that was not configured before were skipped in earlier
-  // lists.
-  if (have_roster_) OnRoster(now, Roster(roster_));
+  if (have_roster_ && groups_added) OnRoster(now, Roster(roster_));
   for (auto& [name, group] : groups_) {
     group->routes.clear();
     group->queue_priorities.clear();
@@ -75,52 +82,93 @@
 }
 
 void Proxy::Impl::OnRoster(TimePoint now, const Roster& roster) {
+  RosterChange change;
+  change.listed = roster;
+  for (const auto& [id, info] : roster_) {
+    if (roster.count(id) == 0) change.unlisted.push_back(id);
+  }
+  OnRosterChange(now, change);
+}
+
+void Proxy::Impl::OnRosterChange(TimePoint now, const RosterChange& change) {
   have_roster_ = true;
-  roster_ = roster;
-  for (const auto& [id, info] : roster) {
-    // Databases of unconfigured groups are not used, and their addresses are
-    // not trusted.
-    const bool unconfigured =
-        databases_.count(id) == 0 && route_table_.groups.count(info.group) == 0;
-    if (have_routes_ && unconfigured) continue;
-    DatabaseState& database = databases_[id];
-    const bool known = !database.info.id.empty();
-    if (known && database.info == info && !database.unlisted) continue;
+  const size_t known_before = databases_.size();
+  const bool summarize = change.listed.size() > kMaxLoggedAdditions;
+  std::map<std::string, Group*> affected;
+  const auto add_affected = [&affected](Group* group) {
+    if (group != nullptr) affected[group->name] = group;
+  };
+  for (const auto& [id, info] : change.listed) {
+    roster_[id] = info;
+    add_affected(UpdateDatabase(now, info, /*log_addition=*/!summarize));
+  }
+  for (const std::string& id : change.unlisted) {
+    roster_.erase(id);
+    add_affected(MarkUnlisted(now, id));
+  }
+  size_t primaries = 0;
+  for (const auto& [name, group] : affected) {
+    if (AdoptNewestClaim(now, group, /*log=*/!summarize)) ++primaries;
+    ServeQueues(now, group);
+  }
+  if (!summarize) return;
+  Event(events_, EventPriority::kState, "databases_listed")
+      .Add("listed", change.listed.size())
+      .Add("count", databases_.size())
+      .Add("before", known_before)
+      .Add("groups", affected.size())
+      .Add("primaries", primaries);
+}
+
+/// Returns the database's group; null if nothing changed or the group is not
+/// configured.
+Group* Proxy::Impl::UpdateDatabase(TimePoint now, const Database& info,
+                                   bool log_addition) {
+  // Databases of unconfigured groups are not used, and their addresses are not
+  // trusted.
+  const bool unconfigured = databases_.count(info.id) == 0 &&
+                            route_table_.groups.count(info.group) == 0;
+  if (have_routes_ && unconfigured) return nullptr;
+  DatabaseState& database = databases_[info.id];
+  const bool known = !database.info.id.empty();
+  if (known && database.info == info && !database.unlisted) return nullptr;
+  if (known || log_addition) {
     Event(events_, EventPriority::kState,
           known ? "database_changed" : "database_added")
-        .Add("database", id)
+        .Add("database", info.id)
         .Add("group", info.group)
         .Add("address", info.address)
         .Add("draining", info.draining ? "yes" : "no")
         .Add("claims_primary", info.claims_primary ? "yes" : "no")
         .Add("was_unlisted", database.unlisted ? "yes" : "no");
-    if (known && info.started_at != database.info.started_at) {
-      ResetRestartedDatabase(now, &database);
-    }
-    if (info.draining && !database.info.draining) database.draining_since = now;
-    if (!info.claims_primary) database.claims_since = TimePoint();
-    if (info.claims_primary && database.claims_since == TimePoint()) {
-      database.claims_since = now;
-      if (known) EnsureGroup(info.group)->deposed.erase(id);
-    }
-    database.info = info;
-    database.unlisted = false;
-    Group* group = EnsureGroup(info.group);
-    if (!known) group->databases.push_back(id);
-    if (!known && group->is_keeper) OpenDatabaseConnection(now, &database, "");
   }
-  for (auto& [id, database] : databases_) {
-    if (roster.count(id) > 0 || database.unlisted) continue;
-    Event(events_, EventPriority::kState, "database_unlisted")
-        .Add("database", id)
-        .Add("group", database.info.group);
-    database.unlisted = true;
-    database.removal_at = now + kUnlistedGracePeriod;
+  if (known && info.started_at != database.info.started_at) {
+    ResetRestartedDatabase(now, &database);
   }
-  for (auto& [name, group] : groups_) {
-    AdoptNewestClaim(now, group.get());
-    ServeQueues(now, group.get());
+  if (info.draining && !database.info.draining) database.draining_since = now;
+  if (!info.claims_primary) database.claims_since = TimePoint();
+  Group* group = EnsureGroup(info.group);
+  if (info.claims_primary && database.claims_since == TimePoint()) {
+    database.claims_since = now;
+    if (known) group->deposed.erase(info.id);
   }
+  database.info = info;
+  database.unlisted = false;
+  if (!known) group->databases.push_back(info.id);
+  if (!known && group->is_keeper) OpenDatabaseConnection(now, &database, "");
+  return group;
+}
+
+/// Returns the database's group; null if the database is not known.
+Group* Proxy::Impl::MarkUnlisted(TimePoint now, const std::string& id) {
+  DatabaseState* database = FindDatabase(id);
+  if (database == nullptr || database->unlisted) return nullptr;
+  Event(events_, EventPriority::kState, "database_unlisted")
+      .Add("database", id)
+      .Add("group", database->info.group);
+  database->unlisted = true;
+  database->removal_at = now + kUnlistedGracePeriod;
+  return EnsureGroup(database->info.group);
 }
 
 /// Discards everything observed of a database that restarted with empty state
--- a/src/libcore/session/proxy_impl.h
+++ b/src/libcore/session/proxy_impl.h
@@ -83,6 +83,9 @@
 
   // proxy_directory.cc: configuration and databases.
   void OnRoster(TimePoint now, const Roster& roster);
+  void OnRosterChange(TimePoint now, const RosterChange& change);
+  Group* UpdateDatabase(TimePoint now, const Database& info, bool log_addition);
+  Group* MarkUnlisted(TimePoint now, const std::string& id);
   void ResetRestartedDatabase(TimePoint now, DatabaseState* database);
   void OnRoutes(TimePoint now, const RouteTable& routes);
 
@@ -94,7 +97,7 @@
   bool PrimaryClaimsNewestTerm(const Group& group) const;
   void ObserveTerm(TimePoint now, Group* group, const std::string& database,
                    uint64_t term);
-  void AdoptNewestClaim(TimePoint now, Group* group);
+  bool AdoptNewestClaim(TimePoint now, Group* group, bool log = true);
   void OnStatus(TimePoint now, Group* group, DatabaseState* database,
                 TimePoint requested_at, const StatusReport& report);
   void ExpectPrimary(TimePoint now, Group* group, const std::string& database);
--- a/src/libcore/session/proxy_leadership.cc
+++ b/src/libcore/session/proxy_leadership.cc
@@ -121,8 +121,9 @@
 
 /// Makes the database with the newest claim in the list the presumed primary,
 /// unless it has refused to act as primary since. The list arrives in batches;
-/// if the two newest claims arrive together, neither is used.
-void Proxy::Impl::AdoptNewestClaim(TimePoint now, Group* group) {
+/// if the two newest claims arrive together, neither is used. Returns whether
+/// the presumed primary changed.
+bool Proxy::Impl::AdoptNewestClaim(TimePoint now, Group* group, bool log) {
   const DatabaseState* claimant = nullptr;
   bool tied = false;
   for (const std::string& id : group->databases) {
@@ -135,15 +136,15 @@
       claimant = &database;
     }
   }
-  if (claimant == nullptr || tied) return;
+  if (claimant == nullptr || tied) return false;
   const std::string& id = claimant->info.id;
-  if (group->primary == id) return;
+  if (group->primary == id) return false;
   // A call that the presumed primary accepted later overrides the claim.
   if (!group->primary.empty() &&
       group->last_claim_at >= claimant->claims_since) {
-    return;
+    return false;
   }
-  Event(events_, EventPriority::kState, "primary_known")
+  Event(log ? events_ : nullptr, EventPriority::kState, "primary_known")
       .Add("group", group->name)
       .Add("database", id)
       .Add("term", group->term)
@@ -151,6 +152,7 @@
       .Add("source", "list")
       .Add("age", now - claimant->claims_since);
   group->primary = id;
+  return true;
 }
 
 void Proxy::Impl::OnStatus(TimePoint now, Group* group, DatabaseState* database,
--- a/src/ryefoldd/gateway_task.cc
+++ b/src/ryefoldd/gateway_task.cc
@@ -143,7 +143,7 @@
           // First who there is: it decides who opens connections to the
           // databases that are told next.
           if (members_ != nullptr) members_->OnEntriesChanged(changed);
-          directory_->OnEntriesChanged(items, changed);
+          directory_->OnEntriesChanged(changed);
           if (limits_ != nullptr) limits_->OnItems(items, changed);
           failover_->OnItems(items, changed, mirror_->as_of());
           gateway_->Flush();
--- a/testsuite/platform_directory/directory_test.cc
+++ b/testsuite/platform_directory/directory_test.cc
@@ -28,9 +28,12 @@
                 const core::session::RouteTable& table) override {
     routes = table;
   }
-  void OnRoster(core::TimePoint /*now*/,
-                const core::session::Roster& listed) override {
-    roster = listed;
+  void OnRosterChange(core::TimePoint /*now*/,
+                      const core::session::RosterChange& change) override {
+    for (const auto& [id, database] : change.listed) roster[id] = database;
+    for (const std::string& id : change.unlisted) roster.erase(id);
+    ++reports;
+    reported += change.listed.size() + change.unlisted.size();
   }
   bool IsEnabled(core::EventPriority /*weight*/) override { return true; }
   void Write(core::EventPriority /*weight*/, std::string_view line) override {
@@ -39,6 +42,9 @@
 
   core::session::RouteTable routes;
   core::session::Roster roster;
+  /// Changes of the roster, and databases in them.
+  size_t reports = 0;
+  size_t reported = 0;
   std::vector<std::string> lines;
 };
 
@@ -61,7 +67,13 @@
  protected:
   void Put(const std::string& key, const std::string& value) {
     items_[key] = MakeEntry(key, value, ++revision_);
-    directory_.OnEntriesChanged(items_, {{key, items_[key]}});
+    directory_.OnEntriesChanged({{key, items_[key]}});
+  }
+  void Delete(const std::string& key) {
+    core::mirror::Entry entry = items_.extract(key).mapped();
+    entry.deleted = true;
+    entry.revision = ++revision_;
+    directory_.OnEntriesChanged({{key, entry}});
   }
 
   RecordingListener listener_;
@@ -123,6 +135,42 @@
   EXPECT_EQ(listener_.routes.version, 3U);
 }
 
+// Guards against work in proportion to all databases for each one that changes:
+// on a large fleet decoding them took longer than the changes were apart.
+TEST_F(DirectoryTest, ReportsOnlyTheDatabasesThatChanged) {
+  for (const size_t count : {250U, 2000U}) {
+    for (size_t i = 0; i < count; ++i) {
+      Put("servers/" + std::to_string(i), kValidEntry);
+    }
+    const size_t before = listener_.reported;
+    Put("servers/7", ReplaceValue("5", "6"));
+    EXPECT_EQ(listener_.reported - before, 1U) << count;
+    EXPECT_EQ(listener_.roster.size(), count);
+    EXPECT_EQ(listener_.roster.at("7").slots, 6U);
+  }
+}
+
+// Guards against a database that stays in use after its entry is gone or has
+// become unreadable.
+TEST_F(DirectoryTest, ReportsDatabasesThatAreNoLongerListed) {
+  for (const char* key : {"servers/a", "servers/b", "servers/c"}) {
+    Put(key, kValidEntry);
+  }
+  Delete("servers/a");
+  Put("servers/b", "{}");
+  EXPECT_EQ(listener_.roster.size(), 1U);
+  EXPECT_EQ(listener_.roster.count("c"), 1U);
+}
+
+// Guards against an instance that waits for its databases for ever where there
+// are none yet.
+TEST_F(DirectoryTest, ReportsAnEmptyListOnce) {
+  Put("op/config", R"({"version":3,"routes":[],"services":[]})");
+  EXPECT_EQ(listener_.reports, 1U);
+  Put("op/config", R"({"version":4,"routes":[],"services":[]})");
+  EXPECT_EQ(listener_.reports, 1U);
+}
+
 TEST(Records, CarryTheStartOfADatabase) {
   wire::Findings findings;
   const auto database = DecodeDatabase("i-1", kValidEntry, &findings);
@@ -172,7 +220,7 @@
   for (const std::string& text : {std::string(kConfigWithWorkspaces), broken}) {
     const core::mirror::EntryMap items = {
         {"op/config", MakeEntry("op/config", text, text.size())}};
-    directory.OnEntriesChanged(items, items);
+    directory.OnEntriesChanged(items);
   }
   EXPECT_FALSE(listener.lines.empty());
   for (const std::string& line : listener.lines) {
@@ -192,7 +240,7 @@
   const core::mirror::EntryMap items = {
       {"servers/a", MakeEntry("servers/a", text, 1)},
       {"servers/b", MakeEntry("servers/b", kValidEntry, 2)}};
-  directory.OnEntriesChanged(items, items);
+  directory.OnEntriesChanged(items);
   RC_ASSERT(listener.roster.count("b") == 1U);
   if (listener.roster.count("a") == 0) {
     RC_ASSERT(listener.lines.size() == 1U);
--- a/testsuite/session_directory/random_test.cc
+++ b/testsuite/session_directory/random_test.cc
@@ -170,7 +170,27 @@
   void PublishDirectory() {
     ++table_.version;
     proxy_->OnRoutes(Now(), table_);
-    proxy_->OnRoster(Now(), databases_);
+    PublishRoster();
+  }
+  /// Publishes the whole list and what has changed in it in turn.
+  void PublishRoster() {
+    core::session::RosterChange change;
+    for (const auto& [id, database] : databases_) {
+      const auto before = published_.find(id);
+      if (before == published_.end() || before->second != database) {
+        change.listed[id] = database;
+      }
+    }
+    for (const auto& [id, database] : published_) {
+      if (databases_.count(id) == 0) change.unlisted.push_back(id);
+    }
+    published_ = databases_;
+    publish_whole_ = !publish_whole_;
+    if (publish_whole_) {
+      proxy_->OnRoster(Now(), databases_);
+    } else {
+      proxy_->OnRosterChange(Now(), change);
+    }
   }
 
   std::string RandomDatabase() {
@@ -214,7 +234,7 @@
       Group& group = groups_.at(databases_.at(id).group);
       if (group.primary == id) Promote(databases_.at(id).group);
       databases_.erase(id);
-      proxy_->OnRoster(Now(), databases_);
+      PublishRoster();
       for (auto& [connection, state] : std::map(connections_)) {
         if (state.database != id) continue;
         connections_.erase(connection);
@@ -320,6 +340,9 @@
   std::mt19937_64 random_;
   RouteTable table_;
   Roster databases_;
+  /// The list as the proxy has it.
+  Roster published_;
+  bool publish_whole_ = false;
   std::map<std::string, Group> groups_;
   std::map<std::string, TimePoint> draining_since_;
   std::map<CallerId, Caller> callers_;
