Groups are watched by the instances that use them, not by the duty's holder

Cause: the holder of the duty asked every database of every group for its status once a second, over connections that it closes when they have been idle for half a second: at 1,000 groups 3,000 connections and 5,000 calls a second of one instance, which may have a tenth of a core and 4,200 descriptors. At a quarter of the fleet 39,000 connections were opened for some 19,000 requests. It also built a view of every group ten times a second.

Change: each instance monitors the groups that it keeps or uses (GroupMonitor). The keepers of a group take turns, so that it is still probed once a second. An instance reports a group to the holder when its primary is silent, drains or is unknown, when replicas stop receiving or are paused; a healthy group costs no message. The holder evaluates the groups that it keeps, those that were reported, and those with something in progress (FailoverControl), and decides as before by what it observes itself. A silence that was reported counts from its beginning once the holder has no answer for 250 ms either, so that a failure is not noticed later than before. Where all instances keep a group nothing changes.

--- a/src/include/ryefold/core/failover/coordinator.h
+++ b/src/include/ryefold/core/failover/coordinator.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "ryefold/core/event.h"
+#include "ryefold/core/failover/group_health.h"
 #include "ryefold/core/session/proxy.h"
 #include "ryefold/core/types.h"
 
@@ -67,6 +68,10 @@
   /// Consecutive refused connections after which the primary counts as failed:
   /// no process listens on its address.
   uint32_t refusal_limit = 3;
+  /// Own silence of a primary that confirms the longer one that another
+  /// instance has reported, and the age of a report up to which it counts.
+  std::chrono::milliseconds silence_confirmation{250};
+  std::chrono::milliseconds silence_report_age{1500};
   /// Time without a primary after which a replica is promoted.
   std::chrono::milliseconds no_primary_timeout{1200};
   /// Time after which a primary whose newer log entries reach no replica counts
@@ -102,12 +107,21 @@
   Coordinator(CoordinatorTiming timing, PromotionAuthority* authority,
               CoordinatorPort* port, EventSink* events);
 
-  /// Evaluates every group and orders promotions where needed. `token` is the
-  /// fencing token of the duty; nullopt while this instance does not hold it.
+  /// Evaluates these groups and orders promotions where needed. What is known
+  /// of other groups is forgotten. `token` is the fencing token of the duty;
+  /// nullopt while this instance does not hold it.
   void EvaluateGroups(TimePoint now,
                       const std::vector<session::GroupView>& groups,
                       std::optional<uint64_t> token);
 
+  /// Records that another instance has had no answer from the group's primary
+  /// since `since`.
+  void SilenceReported(TimePoint now, const std::string& group,
+                       TimePoint since);
+  /// Returns the groups that have to be evaluated until something has come to
+  /// an end: a suspicion, a promotion or an announcement.
+  std::vector<std::string> OpenGroups(TimePoint now) const;
+
   void PromotionAnswered(TimePoint now, const std::string& group,
                          uint64_t token, PromotionOutcome outcome);
 
@@ -149,11 +163,7 @@
     TimePoint pause_deadline;
     /// Earliest time of the next requests to pause or resume replicas.
     TimePoint next_pause_at;
-    /// Newest position received by any replica.
-    LogPosition newest_received;
-    /// When `newest_received` stopped advancing behind the primary's log; epoch
-    /// while replication makes progress.
-    TimePoint stalled_since;
+    ReplicationProgress replication;
     /// End of the wait for `ordered_database` to become primary; the group is
     /// not evaluated before.
     TimePoint promotion_deadline;
@@ -166,14 +176,17 @@
     /// When it is withdrawn unless the database has become primary.
     TimePoint withdrawal_at;
   };
+  struct ReportedSilence {
+    TimePoint since;
+    TimePoint reported_at;
+  };
   void EvaluateGroup(TimePoint now, const session::GroupView& group,
                      uint64_t token);
-  bool SeemsToFail(TimePoint now, const session::DatabaseView* primary) const;
+  bool IsUnreachable(TimePoint now, const std::string& group,
+                     const session::DatabaseView& primary) const;
   /// Returns why the group needs a new primary; empty if it does not.
   std::string PromotionReason(TimePoint now, const session::GroupView& group,
                               GroupState* state) const;
-  void UpdateReplicationStall(TimePoint now, const session::GroupView& group,
-                              GroupState* state) const;
   static void UpdateLeadership(TimePoint now, const session::GroupView& group,
                                GroupState* state);
   static bool IsOfPresentTerm(const GroupState& state, uint64_t term);
@@ -195,8 +208,6 @@
   static bool MayLackPresentTerm(const session::GroupView& group,
                                  const GroupState& state,
                                  const session::DatabaseView& candidate);
-  static const session::DatabaseView* FindPrimary(
-      const session::GroupView& group);
   bool IsEligible(TimePoint now, const session::GroupView& group,
                   const session::DatabaseView& database) const;
   const session::DatabaseView* FindMostAdvanced(TimePoint now,
@@ -246,6 +257,7 @@
   CoordinatorPort* port_;
   EventSink* events_;
   std::map<std::string, GroupState> groups_;
+  std::map<std::string, ReportedSilence> silences_;
   /// Last announcement of each group; kept while the duty is elsewhere.
   std::map<std::string, Announcement> announcements_;
 };
--- a/src/include/ryefold/core/session/proxy.h
+++ b/src/include/ryefold/core/session/proxy.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -68,6 +69,8 @@
   /// Whether this instance is a keeper of the group: it holds connections to
   /// the databases.
   bool is_keeper = true;
+  /// Number of keepers; 0 if all instances keep the group.
+  size_t keepers = 0;
   /// Writes are refused because no replica receives commits.
   bool writes_held = false;
   std::vector<DatabaseView> databases;
@@ -186,6 +189,10 @@
   /// opened.
   std::map<std::string, uint32_t> connections_by_workspace() const;
   std::vector<GroupView> groups(TimePoint now) const;
+  /// Returns the groups that this instance keeps or uses.
+  std::vector<GroupView> active_groups(TimePoint now) const;
+  /// Returns nullopt if the group is not known.
+  std::optional<GroupView> group(TimePoint now, const std::string& name) const;
   const ProxyCounters& counters() const;
   size_t callers() const;
 
--- a/src/libcore/failover/coordinator.cc
+++ b/src/libcore/failover/coordinator.cc
@@ -1,6 +1,7 @@
 #include "ryefold/core/failover/coordinator.h"
 
 #include <algorithm>
+#include <set>
 
 namespace ryefold::core::failover {
 namespace {
@@ -27,20 +28,6 @@
                          EventSink* events)
     : timing_(timing), authority_(authority), port_(port), events_(events) {}
 
-/// Returns whether the primary may have failed. `responsive` allows a database
-/// with a high latency more time, possibly more than the timeout after which it
-/// is replaced, so half of that timeout without an answer counts as well.
-bool Coordinator::SeemsToFail(TimePoint now,
-                              const DatabaseView* primary) const {
-  if (primary == nullptr || primary->draining || primary->refusals > 0) {
-    return true;
-  }
-  const bool silent =
-      primary->unanswered_since != TimePoint() &&
-      now - primary->unanswered_since >= timing_.primary_timeout / 2;
-  return silent || !primary->responsive;
-}
-
 std::string Coordinator::PromotionReason(TimePoint now, const GroupView& group,
                                          GroupState* state) const {
   const DatabaseView* primary = FindPrimary(group);
@@ -53,45 +40,33 @@
   state->no_primary_since = TimePoint();
   if (primary->draining) return "primary is draining";
   if (primary->refusals >= timing_.refusal_limit) return "connection refused";
-  const bool unreachable =
-      primary->unanswered_since != TimePoint() &&
-      now - primary->unanswered_since >= timing_.primary_timeout;
-  if (unreachable) return "primary unreachable";
-  const bool stalled =
-      state->stalled_since != TimePoint() &&
-      now - state->stalled_since >= timing_.replication_stall_timeout;
+  if (IsUnreachable(now, group.group, *primary)) return "primary unreachable";
+  const bool stalled = state->replication.stalled_since() != TimePoint() &&
+                       now - state->replication.stalled_since() >=
+                           timing_.replication_stall_timeout;
   if (stalled) return "replication to all replicas stalled";
   return "";
 }
 
-/// A primary that is partitioned from all its replicas still answers and its
-/// log still grows, so only the positions received by the replicas reveal the
-/// partition. The status of every replica has to be recent, or the one replica
-/// that still receives could be missed.
-void Coordinator::UpdateReplicationStall(TimePoint now, const GroupView& group,
-                                         GroupState* state) const {
-  const DatabaseView* primary = FindPrimary(group);
-  LogPosition received;
-  size_t replicas = 0;
-  bool all_recent = primary != nullptr;
-  for (const DatabaseView& database : group.databases) {
-    if (database.draining) continue;
-    all_recent = all_recent && now - database.status_requested_at <=
-                                   timing_.max_stall_status_age;
-    if (database.id == group.primary) continue;
-    ++replicas;
-    received = std::max(received, database.status.received);
-  }
-  const bool ahead = all_recent && replicas > 0 &&
-                     primary->status.received.term == received.term &&
-                     primary->status.received > received;
-  if (!ahead) {
-    state->stalled_since = TimePoint();
-  } else if (state->stalled_since == TimePoint() ||
-             received != state->newest_received) {
-    state->stalled_since = now;
-  }
-  state->newest_received = received;
+/// Returns whether the primary has been silent for long enough. Another
+/// instance that noticed it first counts too, once this one has no answer
+/// either.
+bool Coordinator::IsUnreachable(TimePoint now, const std::string& group,
+                                const DatabaseView& primary) const {
+  if (primary.unanswered_since == TimePoint()) return false;
+  TimePoint since = primary.unanswered_since;
+  const auto reported = silences_.find(group);
+  const bool confirmed =
+      reported != silences_.end() &&
+      now - since >= timing_.silence_confirmation &&
+      now - reported->second.reported_at <= timing_.silence_report_age;
+  if (confirmed) since = std::min(since, reported->second.since);
+  return now - since >= timing_.primary_timeout;
+}
+
+void Coordinator::SilenceReported(TimePoint now, const std::string& group,
+                                  TimePoint since) {
+  silences_[group] = {since, now};
 }
 
 /// Asks the replicas to stop receiving under the present term.
@@ -226,9 +201,32 @@
     groups_.clear();
     return;
   }
+  std::set<std::string> evaluated;
   for (const GroupView& group : groups) {
-    if (!group.databases.empty()) EvaluateGroup(now, group, *token);
+    if (group.databases.empty()) continue;
+    EvaluateGroup(now, group, *token);
+    evaluated.insert(group.group);
+  }
+  // What is known of a group ages while it is not evaluated.
+  std::erase_if(groups_, [&evaluated](const auto& each) {
+    return evaluated.count(each.first) == 0;
+  });
+  std::erase_if(silences_, [this, now](const auto& each) {
+    return now - each.second.reported_at > timing_.silence_report_age;
+  });
+}
+
+std::vector<std::string> Coordinator::OpenGroups(TimePoint now) const {
+  std::vector<std::string> open;
+  for (const auto& [name, state] : groups_) {
+    const bool at_rest = now >= state.promotion_deadline &&
+                         state.needed_since == TimePoint() &&
+                         state.suspected_since == TimePoint() &&
+                         state.replication.stalled_since() == TimePoint();
+    if (!at_rest) open.push_back(name);
   }
+  for (const auto& [name, announcement] : announcements_) open.push_back(name);
+  return open;
 }
 
 void Coordinator::EvaluateGroup(TimePoint now, const GroupView& group,
@@ -240,10 +238,12 @@
   const bool promoting = now < state.promotion_deadline;
   if (promoting && group.primary != state.ordered_database) return;
   if (promoting) state.promotion_deadline = TimePoint();
-  UpdateReplicationStall(now, group, &state);
-  const bool failing = SeemsToFail(now, FindPrimary(group));
+  state.replication.Update(now, group, timing_.max_stall_status_age);
+  const bool failing =
+      SeemsToFail(now, FindPrimary(group), timing_.primary_timeout / 2);
   UpdateSuspicion(now, failing, &state);
-  const bool suspected = failing || state.stalled_since != TimePoint();
+  const bool suspected =
+      failing || state.replication.stalled_since() != TimePoint();
   ProbeIfDue(now, group, &state, suspected);
   const std::string cause = PromotionReason(now, group, &state);
   if (cause.empty()) {
--- a/src/libcore/failover/coordinator_candidate.cc
+++ b/src/libcore/failover/coordinator_candidate.cc
@@ -10,14 +10,6 @@
 using session::GroupView;
 using std::chrono::milliseconds;
 
-/// Returns the presumed primary; nullptr if it is unknown or not listed.
-const DatabaseView* Coordinator::FindPrimary(const GroupView& group) {
-  for (const DatabaseView& database : group.databases) {
-    if (database.id == group.primary) return &database;
-  }
-  return nullptr;
-}
-
 /// Records changes of the primary or the term, each of which shows that a
 /// promotion took place. A list of databases can name the new primary before
 /// any of them reports its term.
--- a/src/libcore/session/proxy.cc
+++ b/src/libcore/session/proxy.cc
@@ -149,21 +149,33 @@
   return view;
 }
 
+GroupView Proxy::Impl::MakeGroupView(TimePoint now, const Group& group) const {
+  GroupView view;
+  view.group = group.name;
+  view.primary = group.primary;
+  view.term = group.term;
+  view.waiting = group.primary_queue.size() + group.read_queue.size();
+  view.is_keeper = group.is_keeper;
+  view.keepers = group.keepers.size();
+  view.writes_held = group.writes_held_position != LogPosition();
+  for (const std::string& id : group.databases) {
+    view.databases.push_back(MakeDatabaseView(now, group, databases_.at(id)));
+  }
+  return view;
+}
+
 std::vector<GroupView> Proxy::Impl::GroupViews(TimePoint now) const {
   std::vector<GroupView> views;
   for (const auto& [name, group] : groups_) {
-    GroupView view;
-    view.group = name;
-    view.primary = group->primary;
-    view.term = group->term;
-    view.waiting = group->primary_queue.size() + group->read_queue.size();
-    view.is_keeper = group->is_keeper;
-    view.writes_held = group->writes_held_position != LogPosition();
-    for (const std::string& id : group->databases) {
-      view.databases.push_back(
-          MakeDatabaseView(now, *group, databases_.at(id)));
-    }
-    views.push_back(std::move(view));
+    views.push_back(MakeGroupView(now, *group));
+  }
+  return views;
+}
+
+std::vector<GroupView> Proxy::Impl::ActiveGroupViews(TimePoint now) const {
+  std::vector<GroupView> views;
+  for (const auto& [name, group] : active_groups_) {
+    views.push_back(MakeGroupView(now, *group));
   }
   return views;
 }
@@ -272,6 +284,15 @@
 std::vector<GroupView> Proxy::groups(TimePoint now) const {
   return impl_->GroupViews(now);
 }
+std::vector<GroupView> Proxy::active_groups(TimePoint now) const {
+  return impl_->ActiveGroupViews(now);
+}
+std::optional<GroupView> Proxy::group(TimePoint now,
+                                      const std::string& name) const {
+  const Group* found = impl_->FindGroup(name);
+  if (found == nullptr) return std::nullopt;
+  return impl_->MakeGroupView(now, *found);
+}
 const ProxyCounters& Proxy::counters() const { return impl_->counters(); }
 size_t Proxy::callers() const { return impl_->callers(); }
 
--- a/src/libcore/session/proxy_impl.h
+++ b/src/libcore/session/proxy_impl.h
@@ -112,6 +112,8 @@
   TimePoint next_deadline() const;
   Group* FindGroup(const std::string& name);
   std::vector<GroupView> GroupViews(TimePoint now) const;
+  std::vector<GroupView> ActiveGroupViews(TimePoint now) const;
+  GroupView MakeGroupView(TimePoint now, const Group& group) const;
   bool ready() const;
   bool LacksDatabases() const;
   bool drained() const { return draining_ && callers_.empty(); }
--- a/src/ryefoldd/gateway_failover.cc
+++ b/src/ryefoldd/gateway_failover.cc
@@ -5,10 +5,13 @@
 #include <utility>
 
 #include "ryefold/task/clock.h"
+#include "ryefold/wire/report_codec.h"
 
 namespace ryefold::ryefoldd {
 namespace {
 
+using core::Event;
+using core::EventPriority;
 using core::failover::PromotionOutcome;
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
@@ -20,6 +23,9 @@
 /// The same while a promotion waits for answers of replicas, which take some
 /// milliseconds.
 constexpr milliseconds kReplicaAnswerPace{10};
+/// Timeout of reports to the holder of the duty, which are sent again each
+/// second while the trouble lasts.
+constexpr milliseconds kReportTimeout{500};
 
 }  // namespace
 
@@ -30,14 +36,20 @@
       duty_(surroundings_.store, settings.name),
       election_(settings.name, core::failover::ElectionTiming(), &duty_,
                 surroundings_.events),
-      promotion_(
-          surroundings_.loop->base(), settings.promotion_address, settings.name,
-          [this](const std::string& group, uint64_t token,
-                 PromotionOutcome outcome) {
-            coordinator_.PromotionAnswered(BootTime(), group, token, outcome);
-          }),
-      coordinator_(core::failover::CoordinatorTiming(), &promotion_, this,
-                   surroundings_.events) {
+      promotion_(surroundings_.loop->base(), settings.promotion_address,
+                 settings.name,
+                 [this](const std::string& group, uint64_t token,
+                        PromotionOutcome outcome) {
+                   control_.coordinator().PromotionAnswered(BootTime(), group,
+                                                            token, outcome);
+                 }),
+      control_(std::hash<std::string>()(settings.name), &promotion_, this, this,
+               surroundings_.events) {
+  if (surroundings_.peers != nullptr) {
+    surroundings_.peers->Serve(
+        wire::kPeerGroupReports,
+        [this](const wire::PeerCall& call) { OnReports(call); });
+  }
   duty_.Attach(&election_);
   duty_.SetEventCallback([this] { ArmElection(); });
   Observe();
@@ -52,12 +64,16 @@
                               const core::mirror::EntryMap& changed,
                               uint64_t as_of) {
   duty_.OnEntriesChanged(items, changed, as_of);
+  if (std::exchange(reported_to_, duty_.holder()) != duty_.holder()) {
+    control_.HolderChanged(BootTime());
+  }
   for (const auto& [key, item] : changed) {
     const auto order = platform::DecodeOrder(item);
     if (!order.has_value()) continue;
     surroundings_.proxy->ExpectPrimary(BootTime(), order->group,
                                        order->database);
-    coordinator_.AnnouncementRead(BootTime(), order->group, order->database);
+    control_.coordinator().AnnouncementRead(BootTime(), order->group,
+                                            order->database);
   }
 }
 
@@ -108,19 +124,60 @@
       });
 }
 
-void GatewayFailover::Observe() {
+void GatewayFailover::Evaluate() {
   const core::TimePoint now = BootTime();
-  const std::optional<uint64_t> token = election_.token(now);
-  if (token.has_value()) {
-    coordinator_.EvaluateGroups(now, surroundings_.proxy->groups(now), token);
-  } else {
-    coordinator_.EvaluateGroups(now, {}, token);
-  }
+  control_.Evaluate(now, *surroundings_.proxy, election_.token(now));
   surroundings_.flush();
-  const milliseconds pace =
-      coordinator_.AwaitsReplies() ? kReplicaAnswerPace : kObservePace;
+}
+
+void GatewayFailover::Observe() {
+  Evaluate();
+  const milliseconds pace = control_.coordinator().AwaitsReplies()
+                                ? kReplicaAnswerPace
+                                : kObservePace;
   observe_timer_ =
       surroundings_.loop->At(steady_clock::now() + pace, [this] { Observe(); });
 }
 
+void GatewayFailover::OnReports(const wire::PeerCall& call) {
+  const auto reports = wire::ReadGroupReports(call.body());
+  if (!reports.has_value()) {
+    Event(surroundings_.events, EventPriority::kState, "reports_unreadable")
+        .Add("bytes", call.body().size());
+  }
+  if (!reports.has_value() || !holds_duty()) {
+    call.Refuse();
+    return;
+  }
+  control_.ReportsReceived(BootTime(), *reports);
+  call.Reply("");
+  // Probes of a reported group are part of the time without a primary.
+  Evaluate();
+}
+
+void GatewayFailover::SendReports(
+    const std::vector<core::failover::GroupReport>& reports) {
+  const std::string& holder = duty_.holder();
+  if (holder == instance_ && holds_duty()) {
+    control_.ReportsReceived(BootTime(), reports);
+    return;
+  }
+  wire::PeerClient* peer = surroundings_.peers == nullptr || holder == instance_
+                               ? nullptr
+                               : surroundings_.peers->To(holder);
+  if (peer == nullptr) {
+    surroundings_.loop->Post([this] { OnReportsFailed(); });
+    return;
+  }
+  peer->Call(std::string(wire::kPeerGroupReports),
+             wire::WriteGroupReports(reports),
+             steady_clock::now() + kReportTimeout,
+             [this](const wire::PeerResult& result) {
+               if (result.status == wire::CallStatus::kOk) return;
+               surroundings_.loop->Post([this] { OnReportsFailed(); });
+             });
+}
+
+void GatewayFailover::OnReportsFailed() { control_.ReportsFailed(BootTime()); }
+
 }  // namespace ryefold::ryefoldd
--- a/src/ryefoldd/gateway_failover.h
+++ b/src/ryefoldd/gateway_failover.h
@@ -13,21 +13,26 @@
 #include "ryefold/core/event.h"
 #include "ryefold/core/failover/coordinator.h"
 #include "ryefold/core/failover/election.h"
+#include "ryefold/core/failover/failover_control.h"
 #include "ryefold/core/mirror/entry.h"
 #include "ryefold/core/session/proxy.h"
 #include "ryefold/settings/gateway.h"
 #include "ryefold/task/loop.h"
+#include "ryefoldd/peer_exchange.h"
 
 namespace ryefold::ryefoldd {
 
 /// On the gateway's loop. Only one instance of a fleet gives orders at a time;
 /// all take note of them.
-class GatewayFailover : public core::failover::CoordinatorPort {
+class GatewayFailover : public core::failover::CoordinatorPort,
+                        public core::failover::GroupMonitorPort {
  public:
   /// What the gateway shares with it; all outlive it.
   struct Surroundings {
     task::Loop* loop = nullptr;
     platform::StoreClient* store = nullptr;
+    /// Null where instances do not reach each other.
+    PeerExchange* peers = nullptr;
     core::session::Proxy* proxy = nullptr;
     core::EventSink* events = nullptr;
     /// Sends what calls on the proxy have left to be sent.
@@ -59,17 +64,24 @@
   void ResumeReplication(const std::string& database) override;
   void Announce(const std::string& group, const std::string& database) override;
   void ReplaceToken(const std::string& reason) override;
+  void SendReports(
+      const std::vector<core::failover::GroupReport>& reports) override;
 
  private:
   void ArmElection();
   void Observe();
+  void Evaluate();
+  void OnReports(const wire::PeerCall& call);
+  void OnReportsFailed();
 
   const std::string instance_;
   const Surroundings surroundings_;
   platform::DutyStore duty_;
   core::failover::Election election_;
   platform::PromotionClient promotion_;
-  core::failover::Coordinator coordinator_;
+  core::failover::FailoverControl control_;
+  /// Holder of the duty that the last reports were meant for.
+  std::string reported_to_;
   task::TimerId election_timer_ = 0;
   task::TimerId observe_timer_ = 0;
 };
--- a/src/ryefoldd/gateway_task.cc
+++ b/src/ryefoldd/gateway_task.cc
@@ -174,6 +174,7 @@
     GatewayFailover::Surroundings surroundings;
     surroundings.loop = loop_;
     surroundings.store = store_.get();
+    surroundings.peers = peers_.get();
     surroundings.proxy = proxy_.get();
     surroundings.events = events_.get();
     surroundings.flush = [this] { gateway_->Flush(); };
--- a/testsuite/support/session/failover_fleet.h
+++ b/testsuite/support/session/failover_fleet.h
@@ -15,7 +15,7 @@
 #include <vector>
 
 #include "ryefold/core/event.h"
-#include "ryefold/core/failover/coordinator.h"
+#include "ryefold/core/failover/failover_control.h"
 #include "testsuite/support/session/checked_callers.h"
 
 namespace ryefold::testsuite {
@@ -74,6 +74,7 @@
       if (move != moves_) return;
       holder_ = next;
       ++token_;
+      for (const auto& instance : instances_) instance->HolderChanged();
     });
   }
   /// Restarts an instance; if it holds the duty, its lease expires.
@@ -94,31 +95,38 @@
   static constexpr milliseconds kLeaseTtl{3000};
   /// Time in which a holder that resigned gets the duty again.
   static constexpr milliseconds kReelection{320};
+  static constexpr milliseconds kStreamLatency{2};
   /// Timeout of the promotion call.
   static constexpr milliseconds kPromotionCallTimeout{900};
 
   class Instance : public core::failover::PromotionAuthority,
-                   public core::failover::CoordinatorPort {
+                   public core::failover::CoordinatorPort,
+                   public core::failover::GroupMonitorPort {
    public:
     Instance(FailoverFleet* fleet, size_t index)
         : fleet_(fleet),
           index_(index),
-          coordinator_(core::failover::CoordinatorTiming(), this, this,
-                       &fleet->trace_) {}
+          control_(index, this, this, this, &fleet->trace_) {}
 
     void Evaluate(std::optional<uint64_t> token) {
-      const TimePoint now = fleet_->clock().now();
-      coordinator_.EvaluateGroups(now, proxy()->groups(now), token);
+      control_.Evaluate(fleet_->clock().now(), *proxy(), token);
     }
+    void ReportsReceived(
+        const std::vector<core::failover::GroupReport>& reports) {
+      control_.ReportsReceived(fleet_->clock().now(), reports);
+    }
+    void ReportsFailed() { control_.ReportsFailed(fleet_->clock().now()); }
+    void HolderChanged() { control_.HolderChanged(fleet_->clock().now()); }
     void PromotionAnswered(const std::string& group, uint64_t token,
                            core::failover::PromotionOutcome outcome) {
-      coordinator_.PromotionAnswered(fleet_->clock().now(), group, token,
-                                     outcome);
+      control_.coordinator().PromotionAnswered(fleet_->clock().now(), group,
+                                               token, outcome);
     }
 
     void AnnouncementRead(const std::string& group,
                           const std::string& database) {
-      coordinator_.AnnouncementRead(fleet_->clock().now(), group, database);
+      control_.coordinator().AnnouncementRead(fleet_->clock().now(), group,
+                                              database);
     }
 
     void Promote(const std::string& group, const std::string& database,
@@ -141,13 +149,17 @@
     void ReplaceToken(const std::string& /*reason*/) override {
       fleet_->MoveDuty(kReelection);
     }
+    void SendReports(
+        const std::vector<core::failover::GroupReport>& reports) override {
+      fleet_->SendReports(index_, reports);
+    }
 
    private:
     Proxy* proxy() { return fleet_->callers_->host(index_).proxy(); }
 
     FailoverFleet* fleet_;
     const size_t index_;
-    core::failover::Coordinator coordinator_;
+    core::failover::FailoverControl control_;
   };
 
   VirtualClock& clock() { return callers_->clock(); }
@@ -161,6 +173,17 @@
     clock().After(kEvaluationInterval, [this] { Evaluate(); });
   }
 
+  void SendReports(size_t instance,
+                   const std::vector<core::failover::GroupReport>& reports) {
+    clock().After(kStreamLatency, [this, instance, reports] {
+      if (!holder_.has_value()) {
+        instances_[instance]->ReportsFailed();
+      } else {
+        instances_[*holder_]->ReportsReceived(reports);
+      }
+    });
+  }
+
   void SendOrder(size_t instance, const std::string& group,
                  const std::string& database, uint64_t token) {
     using core::failover::PromotionOutcome;
