--- a/testsuite/failover_coordinator/coordinator_test.cc
+++ b/testsuite/failover_coordinator/coordinator_test.cc
@@ -131,6 +131,32 @@
   EXPECT_EQ(orders_[0].token, 7U);
 }
 
+// Guards against a failover that takes longer since another instance noticed
+// the silence of the primary first: its report counts from the beginning of
+// that.
+TEST_F(CoordinatorTest, CountsAReportedSilenceOnceItHasNoAnswerEither) {
+  unreachable_.insert("a");
+  View(0).responsive = false;
+  View(0).unanswered_since = At(500);
+  coordinator_.SilenceReported(At(500), "group", At(0));
+  Run(500, 700);
+  EXPECT_TRUE(orders_.empty());
+  Run(800, 900);
+  EXPECT_EQ(orders_.size(), 1U);
+}
+
+// Guards against a promotion that only the instance behind a report needs,
+// since it alone does not reach the primary.
+TEST_F(CoordinatorTest, DoesNotReplaceAPrimaryThatAnswersTheHolder) {
+  for (int64_t now = 0; now < 10000; now += 200) {
+    coordinator_.SilenceReported(At(now), "group", At(0));
+    // One call is always unanswered, for less than its usual time.
+    View(0).unanswered_since = At(now);
+    Run(now, now + 100);
+  }
+  EXPECT_TRUE(orders_.empty());
+}
+
 // A busy primary answers late, but each answer shows that it is alive. An
 // unnecessary promotion would interrupt writes for about a second.
 TEST_F(CoordinatorTest, DoesNotReplaceASlowPrimary) {
