An instance that starts in a large fleet copies from another one

Cause: each instance that started listed the whole store. The copy grows with the fleet (3,000 databases, 985 instances and a configuration of 3,252 routes are some two megabytes as the store sends them), and so does the number of those that start at once after a loss of power: the store's link is taken for a time that grows with the square of the fleet.

Change: an instance that starts reads a page of the list of instances (a stale read, a tenth of the price). In a fleet of more than 16 only those that rank as relays list the store; the others ask up to six instances for any copy that was confirmed within three seconds (FirstCopy). One that is still listing holds the request for a second. The packed copy is made once for all who ask. After a failure of the store the page is asked for again, not the listing.

Ruled out: reading the whole list of instances first (grows with the square as well, a twelfth of it).

Test: mirror_fleet, FirstCopy.

--- a/src/include/ryefold/core/mirror/mirror.h
+++ b/src/include/ryefold/core/mirror/mirror.h
@@ -128,7 +128,11 @@
   Mirror(MirrorTiming timing, bool first_start, uint64_t seed, MirrorPort* port,
          EventSink* events, Listener listener);
 
+  /// Starts by listing the store.
   void Start(TimePoint now);
+  /// Starts with a complete copy that was confirmed at `confirmed_at`.
+  void StartFromCopy(TimePoint now, const Reading& copy,
+                     TimePoint confirmed_at);
   void SetPlan(RelayPlan plan) { plan_ = std::move(plan); }
   void OnAnswer(TimePoint now, const ReadResult& result);
   void Tick(TimePoint now);
@@ -142,6 +146,8 @@
   /// does not make the copy appear newer. The clock's epoch until the first
   /// listing.
   TimePoint confirmed_at() const { return confirmed_at_; }
+  /// Returns whether there is a copy.
+  bool has_copy() const { return listed_; }
   /// Returns whether the copy is currently kept from the store itself.
   bool follows_store() const { return listed_ && store_healthy_; }
   /// Returns whether this instance can serve as a relay. After missed changes
--- a/src/include/ryefold/core/mirror/relay.h
+++ b/src/include/ryefold/core/mirror/relay.h
@@ -21,6 +21,9 @@
   /// that do not arrive, and serve a stale configuration.
   bool current = false;
   bool whole = false;
+  /// The answer is this instance's whole copy, whether or not it follows the
+  /// store. `changes` is empty: the port adds the entries.
+  bool copy = false;
   std::vector<Change> changes;
   uint64_t as_of = 0;
   uint64_t digest = 0;
@@ -52,11 +55,16 @@
   /// latest, so that a timeout shows that a relay is suspended.
   void HandleRequest(TimePoint now, RelayCallId call, uint64_t after,
                      TimePoint wait_until);
+  /// Handles a call of an instance that has just started and wants any recent
+  /// copy. It is held until this instance has one, until `wait_until` at most.
+  void HandleCopyRequest(TimePoint now, RelayCallId call, TimePoint wait_until);
   /// Drops a call whose sender no longer waits.
   void DropRequest(RelayCallId call) { pending_.erase(call); }
 
   /// Sets `Mirror::relay_state` and `Mirror::confirmed_at`.
   void SetState(RelayState state, TimePoint confirmed_at);
+  /// Sets whether this instance has a copy to give.
+  void SetHasCopy(bool has_copy);
   /// Answers waiting calls after changes were applied to the log.
   void OnLogChanged();
   void Tick(TimePoint now);
@@ -67,8 +75,11 @@
   struct PendingRequest {
     uint64_t after = 0;
     TimePoint until;
+    /// The call wants a copy.
+    bool copy = false;
   };
-  RelayAnswer AnswerFor(uint64_t after) const;
+  RelayAnswer AnswerFor(const PendingRequest& request) const;
+  RelayAnswer CopyAnswer() const;
   template <class Predicate>
   void AnswerMatching(const Predicate& matches);
 
@@ -76,6 +87,7 @@
   RelayPort* port_;
   RelayState state_ = RelayState::kNotCurrent;
   TimePoint confirmed_at_;
+  bool has_copy_ = false;
   std::map<RelayCallId, PendingRequest> pending_;
 };
 
--- a/src/include/ryefold/core/mirror/relay_plan.h
+++ b/src/include/ryefold/core/mirror/relay_plan.h
@@ -31,4 +31,18 @@
 /// instances that do not follow the store answer so.
 RelayPlan PlanRelays(const Member& self, const std::vector<Member>& members);
 
+/// How an instance that has just started gets its first copy of the store.
+struct FirstCopyPlan {
+  bool from_store = true;
+  /// Instances to ask for a copy, in order of preference.
+  std::vector<std::string> sources;
+};
+
+/// Returns the plan for `self` by a part of the list of instances, which may
+/// hold some that are gone. In a large fleet that starts at once, a listing for
+/// each instance would take the store's link for a time that grows with the
+/// square of the fleet, so only those that are likely to be relays list it.
+FirstCopyPlan PlanFirstCopy(const Member& self,
+                            const std::vector<Member>& sample);
+
 }  // namespace ryefold::core::mirror
--- a/src/include/ryefold/wire/mirror_codec.h
+++ b/src/include/ryefold/wire/mirror_codec.h
@@ -19,6 +19,8 @@
   /// Store revision that the asking instance has read up to; 0: nothing.
   uint64_t after = 0;
   std::chrono::milliseconds wait{0};
+  /// Any recent copy will do, also of an instance that is no relay.
+  bool any_copy = false;
 };
 
 std::string WriteRelayQuestion(const RelayQuestion& question);
@@ -29,6 +31,13 @@
 std::string WriteRelayAnswer(core::TimePoint now,
                              const core::mirror::RelayAnswer& answer);
 
+/// All entries, compressed, for several answers with the same copy.
+std::string PackEntries(const core::mirror::EntryMap& entries);
+/// An answer with `RelayAnswer::copy` set and the entries in packed form.
+std::string WriteCopyAnswer(core::TimePoint now,
+                            const core::mirror::RelayAnswer& answer,
+                            const std::string& packed_entries);
+
 /// The entry that this side holds under a key; null when it holds none.
 using EntryLookup =
     std::function<const core::mirror::Entry*(const std::string& key)>;
--- a/src/libcore/mirror/mirror.cc
+++ b/src/libcore/mirror/mirror.cc
@@ -21,6 +21,16 @@
   StartNextCall(now);
 }
 
+void Mirror::StartFromCopy(TimePoint now, const Reading& copy,
+                           TimePoint confirmed_at) {
+  started_at_ = now;
+  list_due_ = false;
+  full_read_at_ = now + timing_.full_read_interval;
+  ConfirmCopy(confirmed_at);
+  ApplyReading(now, copy);
+  StartNextCall(now);
+}
+
 std::string Mirror::ChooseRelay(TimePoint now) const {
   for (const std::string& relay : plan_.sources) {
     const auto found = relay_not_before_.find(relay);
--- a/src/libcore/mirror/relay.cc
+++ b/src/libcore/mirror/relay.cc
@@ -5,7 +5,21 @@
 
 namespace ryefold::core::mirror {
 
-RelayAnswer Relay::AnswerFor(uint64_t after) const {
+RelayAnswer Relay::CopyAnswer() const {
+  RelayAnswer answer;
+  answer.current = has_copy_;
+  if (!has_copy_) return answer;
+  answer.whole = true;
+  answer.copy = true;
+  answer.as_of = log_->as_of();
+  answer.digest = log_->digest();
+  answer.confirmed_at = confirmed_at_;
+  return answer;
+}
+
+RelayAnswer Relay::AnswerFor(const PendingRequest& request) const {
+  if (request.copy) return CopyAnswer();
+  const uint64_t after = request.after;
   RelayAnswer answer;
   answer.current = state_ == RelayState::kCurrent;
   if (!answer.current) return answer;
@@ -23,21 +37,35 @@
   const bool current = state_ == RelayState::kCurrent;
   const bool has_changes = current && after < log_->as_of();
   if (state_ == RelayState::kNotCurrent || has_changes || now >= wait_until) {
-    port_->SendRelayAnswer(call, AnswerFor(after));
+    port_->SendRelayAnswer(call, AnswerFor({after, wait_until}));
     return;
   }
   pending_[call] = {after, wait_until};
 }
 
+void Relay::HandleCopyRequest(TimePoint now, RelayCallId call,
+                              TimePoint wait_until) {
+  if (has_copy_ || now >= wait_until) {
+    port_->SendRelayAnswer(call, CopyAnswer());
+    return;
+  }
+  pending_[call] = {0, wait_until, /*copy=*/true};
+}
+
+void Relay::SetHasCopy(bool has_copy) {
+  if (std::exchange(has_copy_, has_copy) == has_copy || !has_copy) return;
+  AnswerMatching([](const PendingRequest& each) { return each.copy; });
+}
+
 template <class Predicate>
 void Relay::AnswerMatching(const Predicate& matches) {
-  std::vector<std::pair<RelayCallId, uint64_t>> answered;
+  std::vector<std::pair<RelayCallId, PendingRequest>> answered;
   for (const auto& [call, each] : pending_) {
-    if (matches(each)) answered.emplace_back(call, each.after);
+    if (matches(each)) answered.emplace_back(call, each);
   }
-  for (const auto& [call, after] : answered) {
+  for (const auto& [call, request] : answered) {
     pending_.erase(call);
-    port_->SendRelayAnswer(call, AnswerFor(after));
+    port_->SendRelayAnswer(call, AnswerFor(request));
   }
 }
 
@@ -47,15 +75,16 @@
   // Calls stay pending while this instance catches up: if they were refused at
   // once, all callers would turn to the store while all relays list it.
   if (state == RelayState::kNotCurrent) {
-    AnswerMatching([](const PendingRequest&) { return true; });
+    AnswerMatching([](const PendingRequest& each) { return !each.copy; });
   }
 }
 
 void Relay::OnLogChanged() {
   if (state_ != RelayState::kCurrent) return;
   const uint64_t as_of = log_->as_of();
-  AnswerMatching(
-      [as_of](const PendingRequest& each) { return each.after < as_of; });
+  AnswerMatching([as_of](const PendingRequest& each) {
+    return !each.copy && each.after < as_of;
+  });
 }
 
 void Relay::Tick(TimePoint now) {
--- a/src/libcore/mirror/relay_plan.cc
+++ b/src/libcore/mirror/relay_plan.cc
@@ -23,6 +23,11 @@
 /// Relays of other failure domains that serve as fallback.
 constexpr size_t kFallbackSources = 2;
 
+/// Instances asked for a first copy: relays, which have one first after a loss
+/// of all power, then others, of which more are alive after a smaller loss.
+constexpr size_t kFirstCopyRelays = 4;
+constexpr size_t kFirstCopyOthers = 2;
+
 uint64_t Rank(const std::string& key, const std::string& instance) {
   return XXH64(key.data(), key.size(),
                XXH64(instance.data(), instance.size(), 0));
@@ -66,6 +71,12 @@
                      [&](const auto& each) { return each.second == instance; });
 }
 
+/// Returns whether the instance is among the first in rank of its failure
+/// domain, as far as can be told without knowing the others.
+bool IsLikelyRelay(const std::string& instance) {
+  return Rank("relay", instance) < UINT64_MAX / kInstancesPerRelay;
+}
+
 }  // namespace
 
 RelayPlan PlanRelays(const Member& self, const std::vector<Member>& members) {
@@ -92,4 +103,31 @@
   return plan;
 }
 
+FirstCopyPlan PlanFirstCopy(const Member& self,
+                            const std::vector<Member>& sample) {
+  FirstCopyPlan plan;
+  plan.from_store =
+      sample.size() <= kMaxFleetWithoutRelays || IsLikelyRelay(self.instance);
+  if (plan.from_store) return plan;
+  Ranked near_relays;
+  Ranked far_relays;
+  Ranked others;
+  for (const Member& each : sample) {
+    const bool near = each.failure_domain == self.failure_domain;
+    Ranked& group = !IsLikelyRelay(each.instance) ? others
+                    : near                        ? near_relays
+                                                  : far_relays;
+    group.emplace_back(0, each.instance);
+  }
+  const auto add = [&plan, &self](const Ranked& group, size_t most) {
+    std::vector<std::string> order = OrderFor(self.instance, group);
+    order.resize(std::min(order.size(), most));
+    plan.sources.insert(plan.sources.end(), order.begin(), order.end());
+  };
+  add(near_relays, kFirstCopyRelays);
+  add(far_relays, kFirstCopyRelays - plan.sources.size());
+  add(others, kFirstCopyOthers);
+  return plan;
+}
+
 }  // namespace ryefold::core::mirror
--- a/src/libwire/mirror_codec.cc
+++ b/src/libwire/mirror_codec.cc
@@ -26,7 +26,9 @@
 struct QuestionMap {
   uint64_t after = 0;
   int64_t wait_ms = 0;
-  MSGPACK_DEFINE_MAP(MSGPACK_NVP("a", after), MSGPACK_NVP("w", wait_ms))
+  bool any_copy = false;
+  MSGPACK_DEFINE_MAP(MSGPACK_NVP("a", after), MSGPACK_NVP("w", wait_ms),
+                     MSGPACK_NVP("n", any_copy))
 };
 
 struct ChangeMap {
@@ -51,9 +53,12 @@
   uint64_t digest = 0;
   int64_t age_ms = 0;
   std::vector<ChangeMap> changes;
+  /// Further changes: a compressed array of them.
+  std::string packed;
   MSGPACK_DEFINE_MAP(MSGPACK_NVP("o", current), MSGPACK_NVP("w", whole),
                      MSGPACK_NVP("a", as_of), MSGPACK_NVP("h", digest),
-                     MSGPACK_NVP("y", age_ms), MSGPACK_NVP("c", changes))
+                     MSGPACK_NVP("y", age_ms), MSGPACK_NVP("c", changes),
+                     MSGPACK_NVP("z", packed))
 };
 
 ChangeMap ToMap(const Change& change) {
@@ -95,10 +100,31 @@
   return Outcome::kRead;
 }
 
+/// Returns the answer without its changes.
+AnswerMap HeadOf(core::TimePoint now, const RelayAnswer& answer) {
+  AnswerMap map;
+  map.current = answer.current;
+  map.whole = answer.whole;
+  map.as_of = answer.as_of;
+  map.digest = answer.digest;
+  map.age_ms =
+      std::chrono::ceil<milliseconds>(now - answer.confirmed_at).count();
+  return map;
+}
+
+/// Moves the packed changes to the others. Returns false if they are
+/// unreadable.
+bool UnpackChanges(AnswerMap* map) {
+  if (map->packed.empty()) return true;
+  const auto text = Decompress(map->packed, "", kMostBytes);
+  return text.has_value() && Unpack(*text, &map->changes);
+}
+
 }  // namespace
 
 std::string WriteRelayQuestion(const RelayQuestion& question) {
-  return Pack(QuestionMap{question.after, question.wait.count()});
+  return Pack(
+      QuestionMap{question.after, question.wait.count(), question.any_copy});
 }
 
 std::optional<RelayQuestion> ReadRelayQuestion(std::string_view body) {
@@ -107,17 +133,11 @@
       map.wait_ms > kMostWait.count()) {
     return std::nullopt;
   }
-  return RelayQuestion{map.after, milliseconds(map.wait_ms)};
+  return RelayQuestion{map.after, milliseconds(map.wait_ms), map.any_copy};
 }
 
 std::string WriteRelayAnswer(core::TimePoint now, const RelayAnswer& answer) {
-  AnswerMap map;
-  map.current = answer.current;
-  map.whole = answer.whole;
-  map.as_of = answer.as_of;
-  map.digest = answer.digest;
-  map.age_ms =
-      std::chrono::ceil<milliseconds>(now - answer.confirmed_at).count();
+  AnswerMap map = HeadOf(now, answer);
   map.changes.reserve(answer.changes.size());
   for (const Change& change : answer.changes) {
     map.changes.push_back(ToMap(change));
@@ -125,10 +145,28 @@
   return Compress(Pack(map), "");
 }
 
+std::string PackEntries(const core::mirror::EntryMap& entries) {
+  std::vector<ChangeMap> changes;
+  changes.reserve(entries.size());
+  for (const auto& [key, entry] : entries) {
+    changes.push_back(ToMap({entry, {}, 0}));
+  }
+  return Compress(Pack(changes), "");
+}
+
+std::string WriteCopyAnswer(core::TimePoint now, const RelayAnswer& answer,
+                            const std::string& packed_entries) {
+  AnswerMap map = HeadOf(now, answer);
+  map.packed = packed_entries;
+  return Compress(Pack(map), "");
+}
+
 ReadResult ReadRelayAnswer(std::string_view body, const EntryLookup& lookup) {
   const auto text = Decompress(body, "", kMostBytes);
   AnswerMap map;
-  if (!text.has_value() || !Unpack(*text, &map)) return ReadError::kUnreadable;
+  if (!text.has_value() || !Unpack(*text, &map) || !UnpackChanges(&map)) {
+    return ReadError::kUnreadable;
+  }
   if (!map.current) return ReadError::kNotCurrent;
   Reading reading;
   reading.whole = map.whole;
--- a/src/ryefoldd/gateway_task.cc
+++ b/src/ryefoldd/gateway_task.cc
@@ -133,11 +133,12 @@
   void StartStore() {
     store_ = std::make_unique<platform::StoreClient>(loop_->base(),
                                                      settings_.store_address);
-    feed_ = std::make_unique<platform::StoreFeed>(store_.get());
+    feed_ = std::make_unique<platform::StoreFeed>(store_.get(), settings_.name);
     directory_ =
         std::make_unique<platform::Directory>(events_.get(), proxy_.get());
     mirror_ = std::make_unique<MirrorHost>(
-        loop_, feed_.get(), peers_.get(), events_.get(), settings_.first_start,
+        loop_, core::mirror::Member{settings_.name, settings_.failure_domain},
+        feed_.get(), peers_.get(), events_.get(), settings_.first_start,
         [this](const core::mirror::EntryMap& items,
                const core::mirror::EntryMap& changed) {
           // First who there is: it decides who opens connections to the
--- a/src/ryefoldd/mirror_host.cc
+++ b/src/ryefoldd/mirror_host.cc
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <chrono>
+#include <functional>
+#include <map>
+#include <optional>
 #include <utility>
 
 #include "ryefold/task/clock.h"
@@ -27,9 +30,9 @@
 
 }  // namespace
 
-MirrorHost::MirrorHost(task::Loop* loop, core::mirror::StoreSource* store,
-                       PeerExchange* peers, core::EventSink* events,
-                       bool first_start,
+MirrorHost::MirrorHost(task::Loop* loop, const core::mirror::Member& self,
+                       core::mirror::StoreSource* store, PeerExchange* peers,
+                       core::EventSink* events, bool first_start,
                        core::mirror::Mirror::Listener listener)
     : loop_(loop),
       store_(store),
@@ -39,6 +42,7 @@
               static_cast<uint64_t>(BootTime().time_since_epoch().count()),
               this, events, std::move(listener)),
       relay_(&mirror_.log(), this),
+      first_copy_(self, std::hash<std::string>()(self.instance), this, events),
       timer_(loop, [this] { Tick(); }) {
   if (peers_ == nullptr) return;
   peers_->Serve(wire::kPeerMirror,
@@ -46,10 +50,49 @@
 }
 
 void MirrorHost::Start() {
-  mirror_.Start(BootTime());
+  if (peers_ == nullptr) {
+    mirror_.Start(BootTime());
+  } else {
+    first_copy_.Start(BootTime());
+  }
   Rearm();
 }
 
+void MirrorHost::SampleInstances(const core::AnswerLimits& limits) {
+  using core::mirror::RegisteredInstance;
+  store_->SampleInstances(
+      {ToSteadyClock(limits.deadline), limits.inactivity_timeout},
+      [this](const std::optional<std::vector<RegisteredInstance>>& sample) {
+        std::map<std::string, std::string> addresses;
+        std::vector<core::mirror::Member> members;
+        for (const RegisteredInstance& each :
+             sample.value_or(std::vector<RegisteredInstance>())) {
+          addresses[each.member.instance] = each.address;
+          members.push_back(each.member);
+        }
+        if (!addresses.empty()) peers_->SetAddresses(std::move(addresses));
+        first_copy_.OnSample(BootTime(), members, !sample.has_value());
+        Rearm();
+      });
+}
+
+void MirrorHost::AskCopy(const std::string& instance, milliseconds wait,
+                         core::TimePoint deadline) {
+  AskInstance(instance, {0, wait, /*any_copy=*/true}, deadline,
+              [this](const ReadResult& result) {
+                first_copy_.OnCopy(BootTime(), result);
+                Rearm();
+              });
+}
+
+void MirrorHost::StartFromCopy(const core::mirror::Reading& copy,
+                               core::TimePoint confirmed_at) {
+  mirror_.StartFromCopy(BootTime(), copy, confirmed_at);
+  UpdateRelay();
+}
+
+void MirrorHost::StartFromStore() { mirror_.Start(BootTime()); }
+
 void MirrorHost::SetMembers(const core::mirror::Member& self,
                             const std::vector<core::mirror::Member>& members) {
   mirror_.SetPlan(core::mirror::PlanRelays(self, members));
@@ -57,7 +100,7 @@
 
 void MirrorHost::Retire() {
   retired_ = true;
-  relay_.SetState(RelayState::kNotCurrent, mirror_.confirmed_at());
+  UpdateRelay();
 }
 
 void MirrorHost::ListStore(const std::string& after,
@@ -76,43 +119,60 @@
 
 void MirrorHost::AskRelay(const std::string& instance, uint64_t after,
                           milliseconds wait, core::TimePoint deadline) {
+  AskInstance(instance, {after, wait}, deadline,
+              [this](const ReadResult& result) { Answered(result); });
+}
+
+/// Never calls `answer` before it returns.
+void MirrorHost::AskInstance(const std::string& instance,
+                             const wire::RelayQuestion& question,
+                             core::TimePoint deadline, const Answer& answer) {
   wire::PeerClient* peer = peers_->To(instance);
   if (peer == nullptr) {
-    loop_->Post([this] { Answered(ReadError::kUnreachable); });
+    loop_->Post([answer] { answer(ReadError::kUnreachable); });
     return;
   }
   wire::CallTerms terms;
   terms.deadline = ToSteadyClock(deadline);
   terms.alive_by = std::min(terms.deadline, steady_clock::now() + kAliveTime);
-  peer->Call(std::string(wire::kPeerMirror),
-             wire::WriteRelayQuestion({after, wait}), terms,
-             [this](const wire::PeerResult& result) {
-               // Never from within `AskRelay`.
-               loop_->Post([this, result] { RelayAnswered(result); });
-             });
+  peer->Call(
+      std::string(wire::kPeerMirror), wire::WriteRelayQuestion(question), terms,
+      [this, answer](const wire::PeerResult& result) {
+        loop_->Post([this, answer, result] { answer(ReadAnswer(result)); });
+      });
 }
 
-void MirrorHost::RelayAnswered(const wire::PeerResult& result) {
-  if (result.status != wire::CallStatus::kOk) {
-    Answered(ReadError::kUnreachable);
-    return;
-  }
+ReadResult MirrorHost::ReadAnswer(const wire::PeerResult& result) const {
+  if (result.status != wire::CallStatus::kOk) return ReadError::kUnreachable;
   const core::mirror::EntryMap& held = mirror_.log().entries();
-  Answered(wire::ReadRelayAnswer(
+  return wire::ReadRelayAnswer(
       result.body,
       [&held](const std::string& key) -> const core::mirror::Entry* {
         const auto found = held.find(key);
         return found == held.end() ? nullptr : &found->second;
-      }));
+      });
 }
 
 void MirrorHost::Answered(const ReadResult& result) {
   mirror_.OnAnswer(BootTime(), result);
+  UpdateRelay();
+  Rearm();
+}
+
+void MirrorHost::UpdateRelay() {
   relay_.SetState(retired_ ? RelayState::kNotCurrent : mirror_.relay_state(),
                   mirror_.confirmed_at());
+  relay_.SetHasCopy(mirror_.has_copy() && !retired_);
   relay_.OnLogChanged();
   if (confirmed_) confirmed_(mirror_.confirmed_at());
-  Rearm();
+}
+
+const std::string& MirrorHost::PackedEntries() {
+  const uint64_t digest = mirror_.log().digest();
+  if (packed_.entries.empty() || packed_.digest != digest) {
+    packed_ = {digest, wire::PackEntries(mirror_.log().entries())};
+  }
+  return packed_.entries;
 }
 
 void MirrorHost::OnQuestion(const wire::PeerCall& call) {
@@ -132,7 +192,11 @@
     });
   });
   const core::TimePoint now = BootTime();
-  relay_.HandleRequest(now, id, question->after, now + question->wait);
+  if (question->any_copy) {
+    relay_.HandleCopyRequest(now, id, now + question->wait);
+  } else {
+    relay_.HandleRequest(now, id, question->after, now + question->wait);
+  }
   Rearm();
 }
 
@@ -142,11 +206,15 @@
   if (found == calls_.end()) return;
   const wire::PeerCall waiting = found->second;
   calls_.erase(found);
-  waiting.Reply(wire::WriteRelayAnswer(BootTime(), answer));
+  const core::TimePoint now = BootTime();
+  waiting.Reply(answer.copy
+                    ? wire::WriteCopyAnswer(now, answer, PackedEntries())
+                    : wire::WriteRelayAnswer(now, answer));
 }
 
 void MirrorHost::Tick() {
   const core::TimePoint now = BootTime();
+  first_copy_.Tick(now);
   mirror_.Tick(now);
   relay_.Tick(now);
   Rearm();
@@ -154,7 +222,8 @@
 
 void MirrorHost::Rearm() {
   const core::TimePoint next =
-      std::min(mirror_.next_deadline(), relay_.next_deadline());
+      std::min({mirror_.next_deadline(), relay_.next_deadline(),
+                first_copy_.next_deadline()});
   if (next != core::TimePoint::max()) timer_.ArmFor(ToSteadyClock(next));
 }
 
--- a/src/ryefoldd/mirror_host.h
+++ b/src/ryefoldd/mirror_host.h
@@ -11,22 +11,26 @@
 #include <vector>
 
 #include "ryefold/core/event.h"
+#include "ryefold/core/mirror/first_copy.h"
 #include "ryefold/core/mirror/mirror.h"
 #include "ryefold/core/mirror/relay.h"
 #include "ryefold/core/mirror/store_source.h"
 #include "ryefold/task/deadline_timer.h"
 #include "ryefold/task/loop.h"
+#include "ryefold/wire/mirror_codec.h"
 #include "ryefold/wire/peer.h"
 #include "ryefoldd/peer_exchange.h"
 
 namespace ryefold::ryefoldd {
 
 class MirrorHost : public core::mirror::MirrorPort,
-                   public core::mirror::RelayPort {
+                   public core::mirror::RelayPort,
+                   public core::mirror::FirstCopyPort {
  public:
   /// `peers` may be null: then the store is the only source.
-  MirrorHost(task::Loop* loop, core::mirror::StoreSource* store,
-             PeerExchange* peers, core::EventSink* events, bool first_start,
+  MirrorHost(task::Loop* loop, const core::mirror::Member& self,
+             core::mirror::StoreSource* store, PeerExchange* peers,
+             core::EventSink* events, bool first_start,
              core::mirror::Mirror::Listener listener);
   MirrorHost(const MirrorHost&) = delete;
   MirrorHost& operator=(const MirrorHost&) = delete;
@@ -58,10 +62,27 @@
                 core::TimePoint deadline) override;
   void SendRelayAnswer(core::mirror::RelayCallId call,
                        const core::mirror::RelayAnswer& answer) override;
+  void SampleInstances(const core::AnswerLimits& limits) override;
+  void AskCopy(const std::string& instance, std::chrono::milliseconds wait,
+               core::TimePoint deadline) override;
+  void StartFromCopy(const core::mirror::Reading& copy,
+                     core::TimePoint confirmed_at) override;
+  void StartFromStore() override;
 
  private:
+  /// The copy's entries as sent to instances that start, which all ask at once.
+  struct PackedCopy {
+    uint64_t digest = 0;
+    std::string entries;
+  };
+  using Answer = std::function<void(const core::mirror::ReadResult&)>;
+  void AskInstance(const std::string& instance,
+                   const wire::RelayQuestion& question,
+                   core::TimePoint deadline, const Answer& answer);
+  core::mirror::ReadResult ReadAnswer(const wire::PeerResult& result) const;
+  const std::string& PackedEntries();
+  void UpdateRelay();
   void Answered(const core::mirror::ReadResult& result);
-  void RelayAnswered(const wire::PeerResult& result);
   void OnQuestion(const wire::PeerCall& call);
   void Tick();
   void Rearm();
@@ -72,6 +93,8 @@
   core::EventSink* events_;
   core::mirror::Mirror mirror_;
   core::mirror::Relay relay_;
+  core::mirror::FirstCopy first_copy_;
+  PackedCopy packed_;
   std::function<void(core::TimePoint)> confirmed_;
   bool retired_ = false;
   core::mirror::RelayCallId last_call_ = 0;
--- a/testsuite/support/mirror/fake_store_keys.h
+++ b/testsuite/support/mirror/fake_store_keys.h
@@ -32,6 +32,10 @@
   milliseconds delay{4};
   /// Bandwidth of each link in bytes per millisecond; 0: unlimited.
   uint64_t bytes_per_ms = 0;
+  /// Bandwidth of the store's own link, which all answers share; 0: unlimited.
+  uint64_t shared_bytes_per_ms = 0;
+  /// Bytes of all listings.
+  uint64_t bytes_listed = 0;
   bool down = false;
   /// Accepts calls and answers none of them, including pending watches.
   bool unresponsive = false;
@@ -85,10 +89,19 @@
         break;
       }
       page.entries.push_back(it->second);
+      bytes_listed += it->second.value.size();
     }
     Send(page, limits.deadline, done);
   }
 
+  /// Answers a small call on something that is not stored here.
+  template <class Answer>
+  void AnswerSmallCall(const std::string& instance, const AnswerLimits& limits,
+                       const std::function<void(const ReadResult&)>& failed,
+                       const Answer& answer) {
+    if (AcceptCall(instance, limits, failed)) clock_->After(delay, answer);
+  }
+
   void Watch(const std::string& instance, uint64_t after, milliseconds wait,
              const AnswerLimits& limits,
              const std::function<void(const ReadResult&)>& done) {
@@ -125,7 +138,13 @@
     uint64_t bytes = 0;
     for (const Entry& entry : reading.entries) bytes += entry.value.size();
     const uint64_t takes = bytes_per_ms == 0 ? 0 : bytes / bytes_per_ms;
-    const TimePoint arrives = clock_->now() + delay + milliseconds(takes);
+    TimePoint arrives = clock_->now() + delay + milliseconds(takes);
+    if (shared_bytes_per_ms > 0) {
+      using std::chrono::microseconds;
+      link_free_at_ = std::max(link_free_at_, clock_->now()) +
+                      microseconds(bytes * 1000 / shared_bytes_per_ms);
+      arrives = std::max(arrives, link_free_at_ + delay);
+    }
     if (arrives > deadline) {
       clock_->At(deadline, [done] { done(ReadError::kUnreachable); });
     } else {
@@ -190,6 +209,8 @@
   uint64_t revision_ = 1;
   uint64_t history_from_ = 0;
   uint64_t last_watch_id_ = 0;
+  /// When the shared link has sent all answers.
+  TimePoint link_free_at_;
   std::map<uint64_t, Waiting> watches_;
 };
 
--- a/testsuite/support/mirror/fleet.h
+++ b/testsuite/support/mirror/fleet.h
@@ -15,6 +15,7 @@
 #include <utility>
 #include <vector>
 
+#include "ryefold/core/mirror/first_copy.h"
 #include "ryefold/core/mirror/mirror.h"
 #include "ryefold/core/mirror/relay.h"
 #include "ryefold/wire/mirror_codec.h"
@@ -41,11 +42,16 @@
 /// One process. A killed instance stays allocated, and neither sends nor
 /// receives.
 class MirrorInstance : public core::mirror::MirrorPort,
-                       public core::mirror::RelayPort {
+                       public core::mirror::RelayPort,
+                       public core::mirror::FirstCopyPort {
  public:
-  MirrorInstance(MirrorFleet* fleet, std::string name, uint64_t seed);
+  MirrorInstance(MirrorFleet* fleet, std::string name,
+                 const std::string& failure_domain, uint64_t seed);
 
+  /// Starts with a listing of the store.
   void Start();
+  /// Starts as a process does, which does not know the other instances yet.
+  void StartUnprepared();
   void SetMembers(const std::vector<core::mirror::Member>& members);
   void Suspend(milliseconds span) { suspended_until_ = Now() + span; }
   void Kill() { killed_ = true; }
@@ -64,6 +70,12 @@
                 TimePoint deadline) override;
   void SendRelayAnswer(core::mirror::RelayCallId call,
                        const core::mirror::RelayAnswer& answer) override;
+  void SampleInstances(const AnswerLimits& limits) override;
+  void AskCopy(const std::string& instance, milliseconds wait,
+               TimePoint deadline) override;
+  void StartFromCopy(const core::mirror::Reading& copy,
+                     TimePoint confirmed_at) override;
+  void StartFromStore() override;
 
   /// Handles a question of another instance; `done` receives the answer's body.
   void HandleQuestion(const std::string& question,
@@ -73,9 +85,12 @@
 
  private:
   TimePoint Now() const;
+  using Answer = std::function<void(const ReadResult&)>;
+  void Ask(const std::string& instance, const wire::RelayQuestion& question,
+           TimePoint deadline, const Answer& answer);
   void Answered(const ReadResult& result);
+  void UpdateRelay();
   void Tick();
-  void Turn();
 
   MirrorFleet* fleet_;
   const std::string name_;
@@ -84,6 +99,7 @@
   TimePoint suspended_until_;
   core::mirror::Mirror mirror_;
   core::mirror::Relay relay_;
+  core::mirror::FirstCopy first_copy_;
   core::mirror::RelayCallId last_call_ = 0;
   std::map<core::mirror::RelayCallId, std::function<void(const std::string&)>>
       calls_;
@@ -100,8 +116,44 @@
   void Add(const std::string& name) {
     members_.push_back(
         {name, "domain-" + std::to_string(members_added_++ % 3)});
-    all.push_back(std::make_unique<MirrorInstance>(this, name, random_()));
+    all.push_back(std::make_unique<MirrorInstance>(
+        this, name, members_.back().failure_domain, random_()));
   }
+  /// Kills the instances for which `is_lost` is true and starts them again.
+  template <class Predicate>
+  void RestartAtOnce(const Predicate& is_lost) {
+    const size_t count = all.size();
+    std::vector<MirrorInstance*> restarted;
+    for (size_t i = 0; i < count; ++i) {
+      if (all[i]->killed() || !is_lost(i)) continue;
+      all[i]->Kill();
+      const std::string name = all[i]->name();
+      all.push_back(std::make_unique<MirrorInstance>(this, name, DomainOf(name),
+                                                     random_()));
+      restarted.push_back(all.back().get());
+    }
+    for (MirrorInstance* each : restarted) each->StartUnprepared();
+  }
+  /// Returns the members that follow `name` in the list, as a store's page
+  /// does; all of them if they are few.
+  std::vector<core::mirror::Member> SampleAfter(const std::string& name) const {
+    constexpr size_t kPage = 200;
+    std::map<std::string, core::mirror::Member> sorted;
+    for (const auto& each : members_) sorted[each.instance] = each;
+    std::vector<core::mirror::Member> sample;
+    for (auto it = sorted.upper_bound(name);
+         it != sorted.end() && sample.size() < kPage; ++it) {
+      sample.push_back(it->second);
+    }
+    if (sample.size() >= kPage / 4) return sample;
+    sample.clear();
+    for (auto it = sorted.begin(); it != sorted.end() && sample.size() < kPage;
+         ++it) {
+      sample.push_back(it->second);
+    }
+    return sample;
+  }
+  const std::vector<core::mirror::Member>& members() const { return members_; }
   /// Updates the member list of all instances at once. In a deployment it comes
   /// from the store.
   void UpdateMembers() {
@@ -185,6 +237,7 @@
 };
 
 inline MirrorInstance::MirrorInstance(MirrorFleet* fleet, std::string name,
+                                      const std::string& failure_domain,
                                       uint64_t seed)
     : fleet_(fleet),
       name_(std::move(name)),
@@ -194,7 +247,8 @@
               [](const EntryMap&, const EntryMap&) {
                 return core::mirror::WatchUrgency::kNormal;
               }),
-      relay_(&mirror_.log(), this) {}
+      relay_(&mirror_.log(), this),
+      first_copy_({name_, failure_domain}, seed, this, &log_) {}
 
 inline void RecordingLog::Write(core::EventPriority /*weight*/,
                                 std::string_view line) {
@@ -225,6 +279,7 @@
 inline void MirrorInstance::Tick() {
   fleet_->clock.After(milliseconds(10), [this] {
     Deliver([this] {
+      first_copy_.Tick(Now());
       mirror_.Tick(Now());
       relay_.Tick(Now());
       Tick();
@@ -232,6 +287,44 @@
   });
 }
 
+inline void MirrorInstance::StartUnprepared() {
+  first_copy_.Start(Now());
+  Tick();
+}
+
+inline void MirrorInstance::SampleInstances(const AnswerLimits& limits) {
+  fleet_->store.AnswerSmallCall(
+      name_, limits,
+      [this](const ReadResult&) {
+        Deliver([this] { first_copy_.OnSample(Now(), {}, /*failed=*/true); });
+      },
+      [this] {
+        Deliver([this] {
+          first_copy_.OnSample(Now(), fleet_->SampleAfter(name_),
+                               /*failed=*/false);
+        });
+      });
+}
+
+inline void MirrorInstance::AskCopy(const std::string& instance,
+                                    milliseconds wait, TimePoint deadline) {
+  Ask(instance, {0, wait, /*any_copy=*/true}, deadline,
+      [this](const ReadResult& result) { first_copy_.OnCopy(Now(), result); });
+}
+
+inline void MirrorInstance::StartFromCopy(const core::mirror::Reading& copy,
+                                          TimePoint confirmed_at) {
+  // In a deployment the copy holds the list of instances.
+  SetMembers(fleet_->members());
+  mirror_.StartFromCopy(Now(), copy, confirmed_at);
+  UpdateRelay();
+}
+
+inline void MirrorInstance::StartFromStore() {
+  SetMembers(fleet_->members());
+  mirror_.Start(Now());
+}
+
 inline void MirrorInstance::SetMembers(
     const std::vector<core::mirror::Member>& members) {
   mirror_.SetPlan(
@@ -244,7 +337,12 @@
     fleet_->violations.push_back(name_ + ": revision of the copy decreased");
   }
   max_as_of_ = mirror_.as_of();
+  UpdateRelay();
+}
+
+inline void MirrorInstance::UpdateRelay() {
   relay_.SetState(mirror_.relay_state(), mirror_.confirmed_at());
+  relay_.SetHasCopy(mirror_.has_copy());
   relay_.OnLogChanged();
 }
 
@@ -271,10 +369,17 @@
 inline void MirrorInstance::AskRelay(const std::string& instance,
                                      uint64_t after, milliseconds wait,
                                      TimePoint deadline) {
+  Ask(instance, {after, wait}, deadline,
+      [this](const ReadResult& result) { Answered(result); });
+}
+
+inline void MirrorInstance::Ask(const std::string& instance,
+                                const wire::RelayQuestion& asked,
+                                TimePoint deadline, const Answer& answer) {
   const auto answered = std::make_shared<bool>(false);
-  const auto finish = [this, answered](const ReadResult& result) {
+  const auto finish = [answered, answer](const ReadResult& result) {
     if (std::exchange(*answered, true)) return;
-    Answered(result);
+    answer(result);
   };
   fleet_->clock.At(deadline, [this, finish] {
     Deliver([finish] { finish(ReadError::kUnreachable); });
@@ -283,7 +388,7 @@
     return fleet_->blocked_links.count({name_, instance}) == 0 &&
            fleet_->blocked_links.count({instance, name_}) == 0;
   };
-  const std::string question = wire::WriteRelayQuestion({after, wait});
+  const std::string question = wire::WriteRelayQuestion(asked);
   const auto receive = [this, finish, link_is_up](const std::string& body) {
     if (!link_is_up()) return;
     bytes_received += body.size();
@@ -324,7 +429,11 @@
   const auto read = wire::ReadRelayQuestion(question);
   const core::mirror::RelayCallId call = ++last_call_;
   calls_[call] = done;
-  relay_.HandleRequest(Now(), call, read->after, Now() + read->wait);
+  if (read->any_copy) {
+    relay_.HandleCopyRequest(Now(), call, Now() + read->wait);
+  } else {
+    relay_.HandleRequest(Now(), call, read->after, Now() + read->wait);
+  }
 }
 
 inline void MirrorInstance::SendRelayAnswer(
@@ -333,7 +442,9 @@
   if (found == calls_.end()) return;
   const auto done = found->second;
   calls_.erase(found);
-  done(wire::WriteRelayAnswer(Now(), answer));
+  done(answer.copy
+           ? wire::WriteCopyAnswer(Now(), answer, wire::PackEntries(entries()))
+           : wire::WriteRelayAnswer(Now(), answer));
 }
 
 }  // namespace ryefold::testsuite
