--- a/src/libwire/json_cut.cc
+++ b/src/libwire/json_cut.cc
@@ -1,6 +1,7 @@
 #include "json_cut.h"
 
 #include "json_value.h"
+#include "ryefold/wire/json_array.h"
 
 namespace ryefold::wire {
 namespace {
@@ -64,8 +65,49 @@
   return kNone;
 }
 
+/// Splits the array between the brackets at `open` and `end`. Returns false if
+/// it holds anything but objects.
+bool SplitObjects(std::string_view text, size_t open, size_t end,
+                  std::vector<std::string_view>* elements) {
+  size_t at = SkipSpace(text, open + 1);
+  if (at == end) return true;
+  while (at < end && text[at] == '{') {
+    const size_t last = EndOfBrackets(text, at);
+    if (last == kNone) return false;
+    elements->push_back(text.substr(at, last + 1 - at));
+    at = SkipSpace(text, last + 1);
+    if (at == end) return true;
+    if (at == kNone || text[at] != ',') return false;
+    at = SkipSpace(text, at + 1);
+  }
+  return false;
+}
+
+/// Returns `text` with `null` in place of the value between two positions.
+std::string WithoutValue(std::string_view text, size_t first, size_t last) {
+  std::string rest(text.substr(0, first));
+  rest += "null";
+  rest += text.substr(last + 1);
+  return rest;
+}
+
 }  // namespace
 
+CutArray CutObjects(std::string_view object, std::string_view name) {
+  CutArray cut;
+  const size_t open = SkipSpace(object, 0);
+  if (open == kNone || object[open] != '{') return cut;
+  const size_t start = FindValue(object, open, name);
+  if (start == kNone || object[start] != '[') return cut;
+  const size_t end = EndOfBrackets(object, start);
+  if (end == kNone || !SplitObjects(object, start, end, &cut.elements)) {
+    return cut;
+  }
+  cut.found = true;
+  cut.rest = WithoutValue(object, start, end);
+  return cut;
+}
+
 CutObject CutMember(std::string_view object, std::string_view name) {
   CutObject cut;
   const size_t open = SkipSpace(object, 0);
@@ -75,9 +117,7 @@
   const size_t end = EndOfBrackets(object, start);
   if (end == kNone) return cut;
   cut.member = object.substr(start, end + 1 - start);
-  cut.rest = object.substr(0, start);
-  cut.rest += "null";
-  cut.rest += object.substr(end + 1);
+  cut.rest = WithoutValue(object, start, end);
   return cut;
 }
 
