Relays compare their copies; one of each failure domain reads the store in full

Cause: every relay listed the whole store each 30 s, in case a watch had missed a change. Relays and copy both grow with the fleet: with 82 relays and some two megabytes 160 MB each half minute, all within the same second after a start, and some tenths of a second of a small relay's processor.

Change: the first relay of each failure domain lists the store. Every other one compares revision and digest with it each 5 s, in a call of some hundred bytes, and lists the store itself if the copies differ, if the other does not answer, or if no eight comparisons in a row met at one revision.

Test: OneRelayOfEachFailureDomainReadsTheStoreInFull: two full reads of each of three domains in a minute, at 250 and at 1,000 instances (before: one of each of 21 and 84 relays each 30 s).

--- a/src/include/ryefold/core/mirror/mirror.h
+++ b/src/include/ryefold/core/mirror/mirror.h
@@ -71,6 +71,13 @@
   uint32_t initial_constant_retries = 20;
   /// Interval of full reads, in case a watch missed a change.
   std::chrono::milliseconds full_read_interval{30000};
+  /// Interval of comparisons with a relay that does the full reads, and the
+  /// delay before the next one if the copies were of different revisions. A
+  /// comparison takes some hundred bytes.
+  std::chrono::milliseconds verify_interval{5000};
+  std::chrono::milliseconds verify_retry_delay{500};
+  /// Comparisons without a result after which the store is listed.
+  uint32_t max_verify_retries = 8;
   /// One call to a relay, which answers after `relay_wait` at the latest and
   /// counts as lost when nothing arrives within `relay_answer_timeout` after
   /// that. A suspended process keeps its connections open, so only this timeout
@@ -158,7 +165,7 @@
   const std::string& relay() const { return relay_; }
 
  private:
-  enum class Call : uint8_t { kNone, kList, kWatch, kAskRelay };
+  enum class Call : uint8_t { kNone, kList, kWatch, kAskRelay, kVerify };
 
   /// Sends the next call, or sets the time for it.
   void StartNextCall(TimePoint now);
@@ -170,6 +177,8 @@
   void ApplyListing(TimePoint now, const EntryMap& listing, uint64_t as_of);
   void ApplyReading(TimePoint now, const Reading& reading);
   void CompareDigest(const Reading& reading);
+  void VerifyCopy(TimePoint now);
+  void OnVerification(TimePoint now, const ReadResult& result);
   void NotifyListener(TimePoint now, const EntryMap& changed);
   void ConfirmCopy(TimePoint when);
   void LogStoreFailure(TimePoint now, Call call, ReadError error);
@@ -221,6 +230,8 @@
   TimePoint failing_since_;
   uint32_t failures_ = 0;
   TimePoint full_read_at_;
+  TimePoint verify_at_;
+  uint32_t verify_retries_ = 0;
   TimePoint next_watch_at_;
   TimePoint started_at_;
   TimePoint due_ = TimePoint::max();
--- a/src/include/ryefold/core/mirror/relay_plan.h
+++ b/src/include/ryefold/core/mirror/relay_plan.h
@@ -21,6 +21,9 @@
   bool relays = false;
   /// Relays to read from, in order of preference.
   std::vector<std::string> sources;
+  /// Relay whose copy this one compares its own with instead of listing the
+  /// store from time to time; empty for instances that list it.
+  std::string verify_with;
 };
 
 /// Returns the plan for `self`. In a small fleet all instances follow the
--- a/src/libcore/mirror/mirror.cc
+++ b/src/libcore/mirror/mirror.cc
@@ -62,8 +62,11 @@
   // listing whether the store answers, brings the missed changes, and costs the
   // store less while all instances reconnect.
   const bool store_unconfirmed = listed_ && !store_healthy_;
-  const bool whole = list_due_ || now >= full_read_at_;
-  if (whole && !store_unconfirmed) {
+  const bool verifies = !plan_.verify_with.empty() && !list_due_;
+  const bool whole = list_due_ || (!verifies && now >= full_read_at_);
+  if (verifies && !store_unconfirmed && now >= verify_at_) {
+    VerifyCopy(now);
+  } else if (whole && !store_unconfirmed) {
     ListStore(now);
   } else {
     WatchStore(now);
@@ -135,9 +138,46 @@
                   now + wait + timing_.relay_answer_timeout);
 }
 
+/// Compares this copy with that of the relay which lists the store for the
+/// failure domain. Listing it at every relay would cost the store, and the
+/// relays' processors, in proportion to the square of the fleet.
+void Mirror::VerifyCopy(TimePoint now) {
+  call_ = Call::kVerify;
+  sent_at_ = now;
+  port_->AskRelay(plan_.verify_with, as_of(), milliseconds(0),
+                  now + timing_.relay_answer_timeout);
+}
+
+void Mirror::OnVerification(TimePoint now, const ReadResult& result) {
+  const bool comparable = result && result.value().digest.has_value() &&
+                          result.value().as_of == as_of();
+  if (comparable && result.value().digest == log_.digest()) {
+    verify_at_ = now + timing_.verify_interval;
+    verify_retries_ = 0;
+    return;
+  }
+  verify_at_ = now + timing_.verify_retry_delay;
+  ++verify_retries_;
+  // A change of either copy is on its way to the other one.
+  const bool may_agree_soon = result && !comparable;
+  if (may_agree_soon && verify_retries_ < timing_.max_verify_retries) return;
+  Event line(events_, EventPriority::kState, "copy_not_verified");
+  line.Add("relay", plan_.verify_with)
+      .Add("as_of", as_of())
+      .Add("tries", verify_retries_)
+      .Add("reason", comparable ? "copies differ"
+                     : result   ? "other revision"
+                                : ReadErrorName(result.error()));
+  verify_at_ = now + timing_.full_read_interval;
+  verify_retries_ = 0;
+  list_due_ = true;
+}
+
 void Mirror::OnAnswer(TimePoint now, const ReadResult& result) {
   const Call call = std::exchange(call_, Call::kNone);
-  if (call == Call::kAskRelay) {
+  if (call == Call::kVerify) {
+    OnVerification(now, result);
+  } else if (call == Call::kAskRelay) {
     const bool behind = result && result.value().as_of < as_of();
     if (!result) {
       OnRelayFailure(now, result.error());
--- a/src/libcore/mirror/relay_plan.cc
+++ b/src/libcore/mirror/relay_plan.cc
@@ -100,6 +100,10 @@
   plan.follows_store =
       members.size() <= kMaxFleetWithoutRelays || plan.relays || !is_member;
   plan.relays = plan.relays && members.size() > kMaxFleetWithoutRelays;
+  if (!plan.relays) return plan;
+  // The first relay of each failure domain lists the store.
+  const std::string& first = domains.at(self.failure_domain).front().second;
+  if (first != self.instance) plan.verify_with = first;
   return plan;
 }
 
--- a/testsuite/mirror_fleet/first_copy_test.cc
+++ b/testsuite/mirror_fleet/first_copy_test.cc
@@ -54,6 +54,27 @@
   }
 }
 
+// Guards against full reads by every relay: they grow with the square of the
+// fleet, and each stops a small instance for half a second.
+TEST(FirstCopy, OneRelayOfEachFailureDomainReadsTheStoreInFull) {
+  constexpr uint64_t kFailureDomains = 3;
+  for (const size_t size : {250U, 1000U}) {
+    MirrorFleet fleet(size, 1);
+    FillStore(&fleet);
+    fleet.Start();
+    const uint64_t before = fleet.store.bytes_listed;
+    for (int i = 0; i < 60; ++i) {
+      fleet.store.Put("key-" + std::to_string(i), "changed");
+      fleet.RunFor(milliseconds(1000));
+    }
+    // Full reads 30 s apart.
+    EXPECT_LE((fleet.store.bytes_listed - before) / kCopyBytes,
+              kFailureDomains * 2)
+        << size;
+    EXPECT_EQ(fleet.CountStale(), 0U) << size;
+  }
+}
+
 // Guards against the same when only a part of the fleet loses power: the others
 // have copies to give.
 TEST(FirstCopy, InstancesThatReturnCopyFromThoseThatStayed) {
