--- a/testsuite/platform_directory/route_decoder_test.cc
+++ b/testsuite/platform_directory/route_decoder_test.cc
@@ -32,7 +32,9 @@
   std::string groups;
   for (int i = 0; i < 7; ++i) {
     if (i > 0) groups += ",";
-    groups += "{\"name\":\"g" + std::to_string(i) + "\",\"max_conns\":21}";
+    groups.append("{\"name\":\"g")
+        .append(std::to_string(i))
+        .append("\",\"max_conns\":21}");
   }
   return "{\"version\":3,\"routes\":[" + routes + "],\"services\":[" + groups +
          "],\"limits\":{\"tx_idle_ms\":700}}";
--- a/testsuite/session_keepers/assignment_test.cc
+++ b/testsuite/session_keepers/assignment_test.cc
@@ -16,6 +16,7 @@
 
 std::vector<KeeperCandidate> Instances(size_t count) {
   std::vector<KeeperCandidate> instances;
+  instances.reserve(count);
   for (size_t i = 0; i < count; ++i) {
     instances.push_back({"i" + std::to_string(i),
                          std::string(1, static_cast<char>('a' + i % 5))});
@@ -27,6 +28,7 @@
 
 std::vector<std::string> Names(const std::vector<KeeperCandidate>& keepers) {
   std::vector<std::string> names;
+  names.reserve(keepers.size());
   for (const KeeperCandidate& each : keepers) {
     names.push_back(each.instance + "/" + each.failure_domain);
   }
