Reports of failing groups: none without databases, one evaluation for many

Cause: while the whole fleet started, every keeper reported its groups as without a primary, since no database was listed yet, and the holder of the duty evaluated all reported groups anew for each message: messages times groups.

Change: a group without databases is not reported.

Test: DoesNotReportAGroupWithoutDatabases.

--- a/src/include/ryefold/core/failover/failover_control.h
+++ b/src/include/ryefold/core/failover/failover_control.h
@@ -31,7 +31,9 @@
                 std::optional<uint64_t> token);
 
   /// Takes reports of another instance. Only the holder of the duty does.
-  void ReportsReceived(TimePoint now, const std::vector<GroupReport>& reports);
+  /// Returns whether a group was not known to be in trouble, so that it should
+  /// be evaluated soon.
+  bool ReportsReceived(TimePoint now, const std::vector<GroupReport>& reports);
   void ReportsFailed(TimePoint now) { monitor_.ReportsFailed(now); }
   void HolderChanged(TimePoint now) { monitor_.HolderChanged(now); }
 
--- a/src/libcore/failover/failover_control.cc
+++ b/src/libcore/failover/failover_control.cc
@@ -66,14 +66,17 @@
   return chosen;
 }
 
-void FailoverControl::ReportsReceived(TimePoint now,
+bool FailoverControl::ReportsReceived(TimePoint now,
                                       const std::vector<GroupReport>& reports) {
+  bool any_new = false;
   for (const GroupReport& report : reports) {
+    any_new |= reported_until_.count(report.group) == 0;
     reported_until_[report.group] = now + kReportLifetime;
     if (report.silence > milliseconds(0)) {
       coordinator_.SilenceReported(now, report.group, now - report.silence);
     }
   }
+  return any_new;
 }
 
 }  // namespace ryefold::core::failover
--- a/src/libcore/failover/group_monitor.cc
+++ b/src/libcore/failover/group_monitor.cc
@@ -64,6 +64,8 @@
 /// does not.
 std::string GroupMonitor::TroubleOf(TimePoint now, const GroupView& group,
                                     const GroupState& state) const {
+  // While a fleet starts, the databases are not known yet to anybody.
+  if (group.databases.empty()) return "";
   const DatabaseView* primary = FindPrimary(group);
   if (primary == nullptr) return "no primary";
   if (primary->draining) return "primary is draining";
--- a/src/ryefoldd/gateway_failover.cc
+++ b/src/ryefoldd/gateway_failover.cc
@@ -124,19 +124,24 @@
       });
 }
 
-void GatewayFailover::Evaluate() {
+void GatewayFailover::Observe() {
   const core::TimePoint now = BootTime();
   control_.Evaluate(now, *surroundings_.proxy, election_.token(now));
   surroundings_.flush();
+  observe_at_ = core::TimePoint::max();
+  ObserveWithin(control_.coordinator().AwaitsReplies() ? kReplicaAnswerPace
+                                                       : kObservePace);
 }
 
-void GatewayFailover::Observe() {
-  Evaluate();
-  const milliseconds pace = control_.coordinator().AwaitsReplies()
-                                ? kReplicaAnswerPace
-                                : kObservePace;
-  observe_timer_ =
-      surroundings_.loop->At(steady_clock::now() + pace, [this] { Observe(); });
+/// Many reports arrive at once when a failure domain is lost; they lead to one
+/// evaluation.
+void GatewayFailover::ObserveWithin(milliseconds delay) {
+  const core::TimePoint due = BootTime() + delay;
+  if (due >= observe_at_) return;
+  surroundings_.loop->Cancel(observe_timer_);
+  observe_at_ = due;
+  observe_timer_ = surroundings_.loop->At(steady_clock::now() + delay,
+                                          [this] { Observe(); });
 }
 
 void GatewayFailover::OnReports(const wire::PeerCall& call) {
@@ -149,10 +154,11 @@
     call.Refuse();
     return;
   }
-  control_.ReportsReceived(BootTime(), *reports);
-  call.Reply("");
   // Probes of a reported group are part of the time without a primary.
-  Evaluate();
+  if (control_.ReportsReceived(BootTime(), *reports)) {
+    ObserveWithin(kReplicaAnswerPace);
+  }
+  call.Reply("");
 }
 
 void GatewayFailover::SendReports(
--- a/src/ryefoldd/gateway_failover.h
+++ b/src/ryefoldd/gateway_failover.h
@@ -3,6 +3,7 @@
 // The part of a gateway that orders promotions: wires the election and the
 // coordinator to the platform.
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -70,7 +71,7 @@
  private:
   void ArmElection();
   void Observe();
-  void Evaluate();
+  void ObserveWithin(std::chrono::milliseconds delay);
   void OnReports(const wire::PeerCall& call);
   void OnReportsFailed();
 
@@ -84,6 +85,7 @@
   std::string reported_to_;
   task::TimerId election_timer_ = 0;
   task::TimerId observe_timer_ = 0;
+  core::TimePoint observe_at_;
 };
 
 }  // namespace ryefold::ryefoldd
--- a/testsuite/failover_monitor/monitor_test.cc
+++ b/testsuite/failover_monitor/monitor_test.cc
@@ -158,6 +158,18 @@
   }
 }
 
+// Guards against a report from every keeper of every group while a fleet starts
+// before its databases.
+TEST_F(MonitorTest, DoesNotReportAGroupWithoutDatabases) {
+  RunFor(milliseconds(5000), [this] {
+    GroupView group = Healthy();
+    group.primary.clear();
+    group.databases.clear();
+    return group;
+  });
+  EXPECT_TRUE(monitor_.reports.empty());
+}
+
 // Guards against reports of a group whose replicas are only a little behind.
 TEST_F(MonitorTest, DoesNotReportTheUsualLag) {
   uint64_t index = 10;
