A relay encodes a change once for all listeners in step

Cause: a relay packed and compressed each change for each of its listeners by itself. A configuration of half a megabyte took some milliseconds for each of a dozen, and a relay of 0.12 cores answered its listeners, and callers, some tenths of a second later; the first configuration of a fleet that starts was not answered within 1.7 s, so that listeners left for the store.

Change: RelayAnswerWriter keeps the packed changes by the revision since which they are, until the copy changes. Instances say that they read packed answers, so that older versions get them as before.

Test: EncodesAChangeOnceForAllListenersInStep (27 relays, 273 listeners, five changes: at most three for each relay and change, some listeners being a revision behind).

--- a/src/include/ryefold/core/mirror/relay.h
+++ b/src/include/ryefold/core/mirror/relay.h
@@ -21,9 +21,8 @@
   /// that do not arrive, and serve a stale configuration.
   bool current = false;
   bool whole = false;
-  /// The answer is this instance's whole copy, whether or not it follows the
-  /// store. `changes` is empty: the port adds the entries.
-  bool copy = false;
+  /// Revision since which the changes are; 0 if the answer is whole.
+  uint64_t after = 0;
   std::vector<Change> changes;
   uint64_t as_of = 0;
   uint64_t digest = 0;
--- a/src/include/ryefold/wire/mirror_codec.h
+++ b/src/include/ryefold/wire/mirror_codec.h
@@ -3,7 +3,9 @@
 // What instances ask each other about changes in the store.
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -21,6 +23,8 @@
   std::chrono::milliseconds wait{0};
   /// Any recent copy will do, also of an instance that is no relay.
   bool any_copy = false;
+  /// The asking instance reads packed answers.
+  bool accepts_packed = true;
 };
 
 std::string WriteRelayQuestion(const RelayQuestion& question);
@@ -31,12 +35,22 @@
 std::string WriteRelayAnswer(core::TimePoint now,
                              const core::mirror::RelayAnswer& answer);
 
-/// All entries, compressed, for several answers with the same copy.
-std::string PackEntries(const core::mirror::EntryMap& entries);
-/// An answer with `RelayAnswer::copy` set and the entries in packed form.
-std::string WriteCopyAnswer(core::TimePoint now,
-                            const core::mirror::RelayAnswer& answer,
-                            const std::string& packed_entries);
+/// Encodes the answers of a relay. Its listeners are mostly in step, so the
+/// changes are encoded and compressed once for all answers with the same ones.
+class RelayAnswerWriter {
+ public:
+  std::string Write(core::TimePoint now,
+                    const core::mirror::RelayAnswer& answer);
+  /// Returns how often changes were encoded.
+  uint64_t packed_count() const { return packed_count_; }
+
+ private:
+  /// Digest of the copy that the packed changes lead to.
+  uint64_t digest_ = 0;
+  /// Packed changes by the revision since which they are.
+  std::map<uint64_t, std::string> packed_;
+  uint64_t packed_count_ = 0;
+};
 
 /// The entry that this side holds under a key; null when it holds none.
 using EntryLookup =
--- a/src/libcore/mirror/relay.cc
+++ b/src/libcore/mirror/relay.cc
@@ -10,7 +10,7 @@
   answer.current = has_copy_;
   if (!has_copy_) return answer;
   answer.whole = true;
-  answer.copy = true;
+  answer.changes = log_->AllChanges();
   answer.as_of = log_->as_of();
   answer.digest = log_->digest();
   answer.confirmed_at = confirmed_at_;
@@ -28,6 +28,7 @@
   answer.confirmed_at = confirmed_at_;
   auto changes = after == 0 ? std::nullopt : log_->ChangesSince(after);
   answer.whole = !changes.has_value();
+  answer.after = answer.whole ? 0 : after;
   answer.changes = answer.whole ? log_->AllChanges() : std::move(*changes);
   return answer;
 }
--- a/src/libwire/mirror_codec.cc
+++ b/src/libwire/mirror_codec.cc
@@ -27,8 +27,10 @@
   uint64_t after = 0;
   int64_t wait_ms = 0;
   bool any_copy = false;
+  bool accepts_packed = false;
   MSGPACK_DEFINE_MAP(MSGPACK_NVP("a", after), MSGPACK_NVP("w", wait_ms),
-                     MSGPACK_NVP("n", any_copy))
+                     MSGPACK_NVP("n", any_copy),
+                     MSGPACK_NVP("z", accepts_packed))
 };
 
 struct ChangeMap {
@@ -100,6 +102,13 @@
   return Outcome::kRead;
 }
 
+std::vector<ChangeMap> ToMaps(const std::vector<Change>& changes) {
+  std::vector<ChangeMap> maps;
+  maps.reserve(changes.size());
+  for (const Change& each : changes) maps.push_back(ToMap(each));
+  return maps;
+}
+
 /// Returns the answer without its changes.
 AnswerMap HeadOf(core::TimePoint now, const RelayAnswer& answer) {
   AnswerMap map;
@@ -123,8 +132,8 @@
 }  // namespace
 
 std::string WriteRelayQuestion(const RelayQuestion& question) {
-  return Pack(
-      QuestionMap{question.after, question.wait.count(), question.any_copy});
+  return Pack(QuestionMap{question.after, question.wait.count(),
+                          question.any_copy, question.accepts_packed});
 }
 
 std::optional<RelayQuestion> ReadRelayQuestion(std::string_view body) {
@@ -133,31 +142,28 @@
       map.wait_ms > kMostWait.count()) {
     return std::nullopt;
   }
-  return RelayQuestion{map.after, milliseconds(map.wait_ms), map.any_copy};
+  return RelayQuestion{map.after, milliseconds(map.wait_ms), map.any_copy,
+                       map.accepts_packed};
 }
 
 std::string WriteRelayAnswer(core::TimePoint now, const RelayAnswer& answer) {
   AnswerMap map = HeadOf(now, answer);
-  map.changes.reserve(answer.changes.size());
-  for (const Change& change : answer.changes) {
-    map.changes.push_back(ToMap(change));
-  }
+  map.changes = ToMaps(answer.changes);
   return Compress(Pack(map), "");
 }
 
-std::string PackEntries(const core::mirror::EntryMap& entries) {
-  std::vector<ChangeMap> changes;
-  changes.reserve(entries.size());
-  for (const auto& [key, entry] : entries) {
-    changes.push_back(ToMap({entry, {}, 0}));
-  }
-  return Compress(Pack(changes), "");
-}
-
-std::string WriteCopyAnswer(core::TimePoint now, const RelayAnswer& answer,
-                            const std::string& packed_entries) {
+std::string RelayAnswerWriter::Write(core::TimePoint now,
+                                     const RelayAnswer& answer) {
   AnswerMap map = HeadOf(now, answer);
-  map.packed = packed_entries;
+  if (!answer.changes.empty()) {
+    if (std::exchange(digest_, answer.digest) != answer.digest) packed_.clear();
+    std::string& packed = packed_[answer.after];
+    if (packed.empty()) {
+      ++packed_count_;
+      packed = Compress(Pack(ToMaps(answer.changes)), "");
+    }
+    map.packed = packed;
+  }
   return Compress(Pack(map), "");
 }
 
--- a/src/ryefoldd/mirror_host.cc
+++ b/src/ryefoldd/mirror_host.cc
@@ -167,14 +167,6 @@
   if (confirmed_) confirmed_(mirror_.confirmed_at());
 }
 
-const std::string& MirrorHost::PackedEntries() {
-  const uint64_t digest = mirror_.log().digest();
-  if (packed_.entries.empty() || packed_.digest != digest) {
-    packed_ = {digest, wire::PackEntries(mirror_.log().entries())};
-  }
-  return packed_.entries;
-}
-
 void MirrorHost::OnQuestion(const wire::PeerCall& call) {
   const auto question = wire::ReadRelayQuestion(call.body());
   if (!question.has_value()) {
@@ -184,7 +176,7 @@
     return;
   }
   const core::mirror::RelayCallId id = ++last_call_;
-  calls_.insert_or_assign(id, call);
+  calls_.insert_or_assign(id, WaitingCall{call, question->accepts_packed});
   call.OnGone([this, id] {
     loop_->Post([this, id] {
       calls_.erase(id);
@@ -204,12 +196,12 @@
                                  const core::mirror::RelayAnswer& answer) {
   const auto found = calls_.find(call);
   if (found == calls_.end()) return;
-  const wire::PeerCall waiting = found->second;
+  const WaitingCall waiting = found->second;
   calls_.erase(found);
   const core::TimePoint now = BootTime();
-  waiting.Reply(answer.copy
-                    ? wire::WriteCopyAnswer(now, answer, PackedEntries())
-                    : wire::WriteRelayAnswer(now, answer));
+  waiting.call.Reply(waiting.accepts_packed
+                         ? answer_writer_.Write(now, answer)
+                         : wire::WriteRelayAnswer(now, answer));
 }
 
 void MirrorHost::Tick() {
--- a/src/ryefoldd/mirror_host.h
+++ b/src/ryefoldd/mirror_host.h
@@ -70,17 +70,15 @@
   void StartFromStore() override;
 
  private:
-  /// The copy's entries as sent to instances that start, which all ask at once.
-  struct PackedCopy {
-    uint64_t digest = 0;
-    std::string entries;
+  struct WaitingCall {
+    wire::PeerCall call;
+    bool accepts_packed = false;
   };
   using Answer = std::function<void(const core::mirror::ReadResult&)>;
   void AskInstance(const std::string& instance,
                    const wire::RelayQuestion& question,
                    core::TimePoint deadline, const Answer& answer);
   core::mirror::ReadResult ReadAnswer(const wire::PeerResult& result) const;
-  const std::string& PackedEntries();
   void UpdateRelay();
   void Answered(const core::mirror::ReadResult& result);
   void OnQuestion(const wire::PeerCall& call);
@@ -94,11 +92,11 @@
   core::mirror::Mirror mirror_;
   core::mirror::Relay relay_;
   core::mirror::FirstCopy first_copy_;
-  PackedCopy packed_;
+  wire::RelayAnswerWriter answer_writer_;
   std::function<void(core::TimePoint)> confirmed_;
   bool retired_ = false;
   core::mirror::RelayCallId last_call_ = 0;
-  std::map<core::mirror::RelayCallId, wire::PeerCall> calls_;
+  std::map<core::mirror::RelayCallId, WaitingCall> calls_;
   task::DeadlineTimer timer_;
 };
 
--- a/testsuite/mirror_fleet/fleet_test.cc
+++ b/testsuite/mirror_fleet/fleet_test.cc
@@ -76,6 +76,28 @@
   EXPECT_LT(each, 700U);
 }
 
+// Guards against a relay that encodes a change anew for each of its listeners:
+// a configuration of half a megabyte kept a small instance from answering for
+// some tenths of a second.
+TEST(MirrorFleet, EncodesAChangeOnceForAllListenersInStep) {
+  MirrorFleet fleet(300, 1);
+  fleet.store.Put("config", Configuration(5000, 1));
+  fleet.Start();
+  const auto packed = [&fleet] {
+    uint64_t sum = 0;
+    for (MirrorInstance* relay : fleet.Relays()) sum += relay->packed_count();
+    return sum;
+  };
+  const uint64_t before = packed();
+  constexpr uint64_t kChanges = 5;
+  for (uint64_t i = 0; i < kChanges; ++i) {
+    fleet.store.Put("config", Configuration(5000, static_cast<int>(i) + 2));
+    EXPECT_LT(fleet.TimeUntilConverged(kPropagationBound).count(), 800) << i;
+  }
+  // Relays have eleven listeners each, some of them a revision behind.
+  EXPECT_LE(packed() - before, fleet.Relays().size() * kChanges * 3);
+}
+
 // A suspended relay keeps its connections open and its kernel acknowledges
 // data, so only a timeout detects it. Without one, instances that use the relay
 // would serve a stale configuration until it resumes.
--- a/testsuite/support/mirror/fleet.h
+++ b/testsuite/support/mirror/fleet.h
@@ -60,6 +60,8 @@
   const EntryMap& entries() const { return mirror_.log().entries(); }
   const core::mirror::Mirror& mirror() const { return mirror_; }
   const std::string& name() const { return name_; }
+  /// Times that changes were encoded for other instances.
+  uint64_t packed_count() const { return answer_writer_.packed_count(); }
   /// TotalBytes that this instance has received from others.
   uint64_t bytes_received = 0;
 
@@ -100,6 +102,7 @@
   core::mirror::Mirror mirror_;
   core::mirror::Relay relay_;
   core::mirror::FirstCopy first_copy_;
+  wire::RelayAnswerWriter answer_writer_;
   core::mirror::RelayCallId last_call_ = 0;
   std::map<core::mirror::RelayCallId, std::function<void(const std::string&)>>
       calls_;
@@ -442,9 +445,7 @@
   if (found == calls_.end()) return;
   const auto done = found->second;
   calls_.erase(found);
-  done(answer.copy
-           ? wire::WriteCopyAnswer(Now(), answer, wire::PackEntries(entries()))
-           : wire::WriteRelayAnswer(Now(), answer));
+  done(answer_writer_.Write(Now(), answer));
 }
 
 }  // namespace ryefold::testsuite
