--- a/testsuite/platform_directory/route_decoder_test.cc
+++ b/testsuite/platform_directory/route_decoder_test.cc
@@ -97,14 +97,19 @@
 TEST(RouteTableDecoder, RefusesWhatAWholeDecodingRefuses) {
   RouteTableDecoder decoder;
   const std::string route = RouteText(1, 5);
-  for (const std::string& text : std::vector<std::string>{
-           "{\"version\":1,\"routes\":[" + route + ",],\"services\":[]}",
-           "{\"version\":1,\"routes\":[" + route + route + "],\"services\":[]}",
-           "{\"version\":1,\"routes\":[7],\"services\":[]}",
-           "{\"version\":1,\"routes\":[],\"services\":[],\"routes\":[" + route +
-               "]}",
-           "{\"routes\":[" + route + "],\"services\":[]}",
-           "{\"version\":1,\"services\":[]}", "[]", "{", ""}) {
+  const std::string head = "{\"version\":1,\"routes\":[";
+  const std::string tail = "],\"services\":[]}";
+  const std::vector<std::string> texts = {
+      head + route + "," + tail,
+      head + route + route + tail,
+      head + "7" + tail,
+      head + "],\"services\":[],\"routes\":[" + route + "]}",
+      "{\"routes\":[" + route + tail,
+      "{\"version\":1,\"services\":[]}",
+      "[]",
+      "{",
+      ""};
+  for (const std::string& text : texts) {
     EXPECT_TRUE(ReadsAlike(&decoder, text)) << text;
   }
 }
--- a/testsuite/session_keepers/assignment_test.cc
+++ b/testsuite/session_keepers/assignment_test.cc
@@ -47,6 +47,7 @@
   std::vector<std::vector<std::string>> before(kGroups);
   for (const std::set<uint8_t>& list : lists) {
     std::vector<KeeperCandidate> candidates;
+    candidates.reserve(list.size());
     for (const uint8_t number : list) {
       // An instance may return in another failure domain.
       candidates.push_back(
