--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -10,6 +10,8 @@
 "$build/bench_control" --instances 8 --documents 0
 "$build/bench_control" --instances 8 --documents 5000
 "$build/bench_control" --instances 8 --documents 20000
+echo "== one instance on the platform's path by size of the fleet (bench_growth)"
+"$build/bench_growth"
 echo "== failover in virtual time (bench_failover)"
 "$build/bench_failover" --trials 40
 echo "== memory of connections between instances (bench_idle)"
