--- a/src/include/ryefold/core/failover/coordinator.h
+++ b/src/include/ryefold/core/failover/coordinator.h
@@ -68,9 +68,10 @@
   /// Consecutive refused connections after which the primary counts as failed:
   /// no process listens on its address.
   uint32_t refusal_limit = 3;
-  /// Own silence of a primary that confirms the longer one that another
-  /// instance has reported, and the age of a report up to which it counts.
+  /// Time without an answer to this instance that confirms a longer silence
+  /// reported by another one.
   std::chrono::milliseconds silence_confirmation{250};
+  /// Age of such a report up to which it counts.
   std::chrono::milliseconds silence_report_age{1500};
   /// Time without a primary after which a replica is promoted.
   std::chrono::milliseconds no_primary_timeout{1200};
--- a/src/ryefoldd/gateway_failover.h
+++ b/src/ryefoldd/gateway_failover.h
@@ -85,6 +85,7 @@
   std::string reported_to_;
   task::TimerId election_timer_ = 0;
   task::TimerId observe_timer_ = 0;
+  /// When `observe_timer_` fires.
   core::TimePoint observe_at_;
 };
 
