--- a/review/standins/rolling_restart.cc
+++ b/review/standins/rolling_restart.cc
@@ -15,16 +15,16 @@
 namespace {
 
 constexpr int kGateways = 3;
-constexpr int kWorkers = 24;
-constexpr double kRunMs = 92000;
+constexpr int kWorkers = 12;
+constexpr double kRunMs = 98000;
 constexpr double kGraceMs = 6000;
 constexpr const char* kHost = "desk1";
 constexpr int kTimeoutMs = 1000;
 /// Share of the primary's answers that are lost, when after each SIGTERM, and
 /// for how long.
-constexpr double kLostShare = 0.05;
-constexpr double kLostAfterMs = 3500;
-constexpr double kLostForMs = 2500;
+constexpr double kLostShare = 0.2;
+constexpr double kLostAfterMs = 4500;
+constexpr double kLostForMs = 1500;
 /// A commit counts if it took effect this long before the promise arrived.
 constexpr double kMarginMs = 20;
 
@@ -211,7 +211,7 @@
                        " is in rotation again");
     // Callers come back before the next one is stopped.
     deployment_.loop()->After(
-        1500, [this, gateway] { Roll((gateway + 1) % kGateways); });
+        800, [this, gateway] { Roll((gateway + 1) % kGateways); });
   }
 
   /// The time since the last SIGTERM of the statement's machine before its
