--- a/review/standins/gateway.h
+++ b/review/standins/gateway.h
@@ -9,6 +9,7 @@
 
 #include <fstream>
 #include <functional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -16,17 +17,25 @@
 
 namespace review {
 
-/// Returns a port of 127.0.0.1 that is free.
+/// Returns a port of 127.0.0.1 that is free. It lies below the range from which
+/// the kernel takes the ports of outgoing connections, which could occupy it
+/// before the daemon listens there.
 inline uint16_t FreePort() {
-  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof(address);
-  bind(fd, reinterpret_cast<sockaddr*>(&address), size);
-  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
-  close(fd);
-  return ntohs(address.sin_port);
+  constexpr uint32_t kFirst = 20000;
+  constexpr uint32_t kCount = 12000;
+  static uint32_t next = std::random_device()() % kCount;
+  while (true) {
+    const auto port = static_cast<uint16_t>(kFirst + next++ % kCount);
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(port);
+    const bool free =
+        bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+    close(fd);
+    if (free) return port;
+  }
 }
 
 class Gateway {
