--- a/review/standins/database.h
+++ b/review/standins/database.h
@@ -82,6 +82,31 @@
   }
 
   const std::string& id() const { return settings_.id; }
+  void Drain() {
+    draining_ = true;
+    Report();
+  }
+  void Return() {
+    draining_ = false;
+    Report();
+  }
+  /// Makes this database the primary of the next term.
+  void Lead() {
+    uint64_t newest = 0;
+    for (Database* each : service_->databases) newest = std::max(newest, each->term_);
+    for (Database* each : service_->databases) {
+      each->term_ = newest + 1;
+      each->paused_term_ = 0;
+      each->primary_ = each == this;
+      if (each == this) {
+        Apply(log_.size());
+      } else {
+        if (each->log_.size() > log_.size()) each->log_.resize(log_.size());
+        each->applied_ = std::min(each->applied_, each->log_.size());
+      }
+      each->Report();
+    }
+  }
   bool primary() const { return primary_; }
   const std::vector<Commit>& log() const { return log_; }
   void set_lag_ms(double lag_ms) { settings_.lag_ms = lag_ms; }
@@ -121,6 +146,10 @@
   static constexpr uint64_t kBaseNumber = 1200;
 
   void Beat() {
+    Report();
+    loop_->After(1200, [this] { Beat(); });
+  }
+  void Report() {
     ++sequence_;
     Json::Value entry;
     entry["service"] = service_->name;
@@ -128,13 +157,12 @@
     entry["zone"] = settings_.zone;
     entry["version"] = "v1";
     entry["slots"] = settings_.slots;
-    entry["state"] = "ready";
+    entry["state"] = draining_ ? "draining" : "ready";
     entry["cold_left_ms"] = 0;
     entry["db_role"] = primary_ ? "primary" : "replica";
     entry["sequence"] = sequence_;
     entry["born"] = Json::Int64(1700000000000);
     store_->Put("servers/" + settings_.id, ToText(entry));
-    loop_->After(1200, [this] { Beat(); });
   }
 
   // ---- log ----
@@ -457,6 +485,7 @@
   Failing failing_;
   Failing losing_;
   bool primary_;
+  bool draining_ = false;
   uint16_t port_ = 0;
   uint64_t term_ = 3;
   uint64_t paused_term_ = 0;
--- a/review/standins/deployment.h
+++ b/review/standins/deployment.h
@@ -42,11 +42,39 @@
       : record_(record), folder_(folder), started_at_(NowMs()), store_(&loop_) {
     promotion_port_ = ServeHttp(
         &loop_, [this](const HttpRequest& request, const HttpAnswer& answer) {
-          Record("promotion asked for: " + request.body);
-          answer(409, "{\"error\":\"no promotion in this case\"}");
+          Promoted(request, answer);
         });
   }
 
+  struct Promotion {
+    double at = 0;
+    std::string holder;
+    uint64_t token = 0;
+    std::string service;
+    std::string id;
+  };
+  std::vector<Promotion> promotions;
+  /// The platform does not check fences (strict_fencing false).
+  void Promoted(const HttpRequest& request, const HttpAnswer& answer) {
+    Json::Value body;
+    std::istringstream(request.body) >> body;
+    Promotion promotion;
+    promotion.at = NowMs() - started_at_;
+    promotion.holder = request.headers.at("ryefold-duty-holder");
+    promotion.token = std::stoull(request.headers.at("ryefold-fence-token"));
+    promotion.service = body["service"].asString();
+    promotion.id = body["id"].asString();
+    promotions.push_back(promotion);
+    Record("promote " + promotion.id + " of " + promotion.service + " by " +
+           promotion.holder + " with token " + std::to_string(promotion.token) +
+           " (store at " + std::to_string(store_.revision()) + ")");
+    Database* target = database(promotion.id);
+    if (target == nullptr) return answer(409, "{}");
+    answer(200, "{}");
+    if (target->primary()) return;
+    loop_.After(1000, [target] { target->Lead(); });
+  }
+
   Loop* loop() { return &loop_; }
   Store* store() { return &store_; }
 
--- a/review/standins/rolling_restart.cc
+++ b/review/standins/rolling_restart.cc
@@ -4,7 +4,11 @@
 // though the consumer was given a promise that nothing is kept. Only commits
 // that had taken effect before the promise was given are counted.
 //
-// Usage: rolling_restart RECORD FOLDER
+// Usage: rolling_restart RECORD FOLDER [plain]
+//
+// With `plain` no answer is lost, and the rule LOST is checked instead: a
+// statement that was sent more than 3 s after the SIGTERM of its machine and
+// passed on to a database gets no answer.
 
 #include <cstring>
 #include <iostream>
@@ -41,8 +45,8 @@
 
 class Case {
  public:
-  Case(const std::string& record, const std::string& folder)
-      : deployment_(record, folder) {}
+  Case(const std::string& record, const std::string& folder, bool plain)
+      : plain_(plain), deployment_(record, folder) {}
 
   int Run() {
     DatabaseSettings common;
@@ -163,6 +167,7 @@
     ++rolls_;
     stopped->Signal(SIGTERM);
     AwaitEnd(gateway, NowMs() + kGraceMs);
+    if (plain_) return;
     Loop* loop = deployment_.loop();
     loop->After(kLostAfterMs, [this] { LoseAnswers(true); });
     loop->After(kLostAfterMs + kLostForMs, [this] { LoseAnswers(false); });
@@ -260,14 +265,34 @@
     deployment_.Record(line);
     std::cout << line << "\n";
     if (commits_ < 200 || (HasTrouble() && rolls_ < 3)) return kCouldNotRun;
+    if (plain_) return CountLost() > 0 ? kBroken : kHeld;
     return refused > 0 ? kBroken : kHeld;
   }
+
+  int CountLost() {
+    std::set<std::string> ran;
+    for (const review::Run& run : deployment_.runs()) ran.insert(run.id);
+    int lost = 0;
+    for (const Sent& each : sent_) {
+      if (!each.ended || !each.reply.lost || ran.count(each.id) == 0) continue;
+      const double since_term = SinceTerm(each, each.sent_at);
+      const bool timed_out = each.ended_at - each.sent_at >= kTimeoutMs;
+      if (since_term <= 3000 || timed_out) continue;
+      ++lost;
+      deployment_.Record("LOST: " + each.id + " " + each.text + " was sent " +
+                         Seconds(since_term) + " after SIGTERM, run by the "
+                         "database and not answered");
+    }
+    std::cout << "run and never answered: " << lost << "\n";
+    return lost;
+  }
   static std::string Seconds(double ms) {
     char text[32];
     std::snprintf(text, sizeof(text), "%.2f s", ms / 1000);
     return text;
   }
 
+  const bool plain_;
   Deployment deployment_;
   std::map<int, std::shared_ptr<Session>> sessions_;
   std::vector<Sent> sent_;
@@ -283,6 +308,6 @@
 }  // namespace review
 
 int main(int argc, char** argv) {
-  if (argc != 3) return review::kCouldNotRun;
-  return review::Case(argv[1], argv[2]).Run();
+  if (argc < 3) return review::kCouldNotRun;
+  return review::Case(argv[1], argv[2], argc > 3).Run();
 }
--- a/review/standins/store.h
+++ b/review/standins/store.h
@@ -26,6 +26,12 @@
 using HttpAnswer = std::function<void(int code, const std::string& body)>;
 using HttpHandler = std::function<void(const HttpRequest&, const HttpAnswer&)>;
 
+/// Sent with each answer of the store.
+inline std::string& EraHeader() {
+  static std::string header;
+  return header;
+}
+
 inline std::string UriDecode(const std::string& text) {
   std::string out;
   for (size_t i = 0; i < text.size(); ++i) {
@@ -86,7 +92,8 @@
           const ConnRef to = weak.lock();
           if (to == nullptr) return;
           to->Send("HTTP/1.1 " + std::to_string(code) +
-                   " X\r\nContent-Type: application/json\r\nContent-Length: " +
+                   " X\r\n" + EraHeader() +
+                   "Content-Type: application/json\r\nContent-Length: " +
                    std::to_string(body.size()) + "\r\n\r\n" + body);
         });
       }
@@ -133,7 +140,36 @@
   uint16_t port() const { return port_; }
   uint64_t revision() const { return revision_; }
 
+  /// Keeps a copy of what the store holds now.
+  void Copy() {
+    copy_ = {items_, leases_, revision_};
+    copied_at_ = NowMs();
+  }
+  /// The store goes away for this long and comes back from the copy.
+  void Restore(double away_ms) {
+    away_ = true;
+    for (const auto& watcher : watchers_) {
+      watcher->done = true;
+      watcher->answer(503, "{}");
+    }
+    watchers_.clear();
+    loop_->After(away_ms, [this] {
+      const double passed = NowMs() - copied_at_;
+      items_ = copy_.items;
+      leases_ = copy_.leases;
+      for (auto& [id, lease] : leases_) lease.ends_at += passed;
+      revision_ = copy_.revision;
+      std::erase_if(history_, [this](const auto& each) {
+        return each.first > revision_;
+      });
+      EraHeader() = "Store-Era: " + std::to_string(++era_) + "\r\n";
+      away_ = false;
+    });
+  }
+  bool away() const { return away_; }
+
   uint64_t Put(const std::string& key, const std::string& value) {
+    if (away_) return revision_;
     PutItem(key, ToBase64(value), 0);
     Notify();
     return revision_;
@@ -237,6 +273,7 @@
   }
 
   void Handle(const HttpRequest& request, const HttpAnswer& answer) {
+    if (away_) return answer(503, "{}");
     const auto field = [&request](const char* name) {
       const auto found = request.query.find(name);
       return found == request.query.end() ? std::string() : found->second;
@@ -264,6 +301,7 @@
       auto watcher = std::make_shared<Watcher>();
       watcher->prefix = field("prefix");
       watcher->after = std::stoull(field("after"));
+      if (watcher->after > revision_) return answer(410, "{}");
       watcher->answer = answer;
       const Json::Value events = EventsSince(watcher->prefix, watcher->after);
       if (!events.empty()) return AnswerWatch(watcher.get(), events);
@@ -340,6 +378,15 @@
     return value;
   }
 
+  struct State {
+    std::map<std::string, Item> items;
+    std::map<uint64_t, Lease> leases;
+    uint64_t revision = 0;
+  };
+  State copy_;
+  double copied_at_ = 0;
+  bool away_ = false;
+  int era_ = 1;
   Loop* loop_;
   uint16_t port_ = 0;
   uint64_t revision_ = 100;
