Review: case 2 with a platform that promotes

The stand-in of the platform used to refuse every promotion, which a sound one does not. It promotes now, answers are lost by the primary of the moment, and a commit counts only if the last primary's log holds it.

--- a/review/standins/rolling_restart.cc
+++ b/review/standins/rolling_restart.cc
@@ -173,15 +173,23 @@
     loop->After(kLostAfterMs + kLostForMs, [this] { LoseAnswers(false); });
   }
 
+  /// The platform may have promoted another database meanwhile.
+  Database* Primary() {
+    for (const auto& each : deployment_.databases()) {
+      const bool used = each->id().rfind("i-bookings", 0) == 0;
+      if (used && each->primary()) return each.get();
+    }
+    return nullptr;
+  }
+
   void LoseAnswers(bool begin) {
-    Database* primary = deployment_.database("i-bookings-a");
     deployment_.Record(begin ? "the primary begins to lose answers"
                              : "the primary loses no more answers");
     if (!begin) {
-      primary->set_losing(nullptr);
+      for (const auto& each : deployment_.databases()) each->set_losing(nullptr);
       return;
     }
-    primary->set_losing([this](const std::string& id, const std::string& text) {
+    Primary()->set_losing([this](const std::string& id, const std::string& text) {
       const bool lost =
           std::uniform_real_distribution<>(0, 1)(random_) < kLostShare;
       if (lost) deployment_.Record("the answer to " + id + " " + text + " is lost");
@@ -232,8 +240,8 @@
 
   int Judge() {
     std::map<std::string, double> committed;
-    const Database* primary = deployment_.database("i-bookings-a");
-    for (const Commit& commit : primary->log()) {
+    // What a promotion rolled back is in the log of no primary any more.
+    for (const Commit& commit : Primary()->log()) {
       committed[commit.id] = commit.committed_at;
     }
     int promised = 0;
