Sessions: log lines that tell the ends of a stopped instance apart

A record of a stopped instance does not show whether its sessions were ended at the end of the drain, after it took itself for drained, or without a drain: 'caller_left' names the caller as the one that left, the end of the task names nobody, and 'drain_end' does not say why it was reached.

request_cut names each request whose session ends without an answer, with the reason, its age and how far it had come. drain_begin, drain_sessions (end of the balancer's notice), drain_end and stopped count sessions, requests and connections, with the time after the signal. ryefold_instance{figure="cut"} counts cut requests. No decision is changed.

--- a/src/include/ryefold/core/session/proxy.h
+++ b/src/include/ryefold/core/session/proxy.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "ryefold/core/admission/queue.h"
@@ -110,6 +111,9 @@
   uint64_t queue_shortages = 0;
   /// Requests removed because their callers disconnected.
   uint64_t abandoned = 0;
+  /// Requests whose callers got no answer because this instance ended the
+  /// session.
+  uint64_t cut = 0;
   uint64_t replica_reads = 0;
   uint64_t primary_reads = 0;
   uint64_t connections_opened = 0;
@@ -210,6 +214,11 @@
   /// `transactions_until`; all sessions are closed at `end`.
   void Drain(TimePoint now, TimePoint transactions_until, TimePoint end);
   bool drained() const;
+  /// Reports each request in progress as cut; its session ends without an
+  /// answer.
+  void ReportCutRequests(TimePoint now, std::string_view reason);
+  /// Returns the number of requests in progress.
+  size_t requests() const;
 
   void Tick(TimePoint now);
   TimePoint next_deadline() const;
--- a/src/libcore/session/proxy.cc
+++ b/src/libcore/session/proxy.cc
@@ -276,6 +276,10 @@
   impl_->Drain(now, transactions_until, end);
 }
 bool Proxy::drained() const { return impl_->drained(); }
+void Proxy::ReportCutRequests(TimePoint now, std::string_view reason) {
+  impl_->ReportCutRequests(now, reason);
+}
+size_t Proxy::requests() const { return impl_->requests(); }
 void Proxy::Tick(TimePoint now) { impl_->Tick(now); }
 TimePoint Proxy::next_deadline() const { return impl_->next_deadline(); }
 bool Proxy::ready() const { return impl_->ready(); }
--- a/src/libcore/session/proxy_callers.cc
+++ b/src/libcore/session/proxy_callers.cc
@@ -475,6 +475,8 @@
   for (const CallerId id : ended) {
     const bool open = callers_.at(id).state == TransactionState::kOpen;
     const bool adopted = callers_.at(id).adopted;
+    const Request* request = FindRequest(callers_.at(id).request);
+    if (request != nullptr) ReportCutRequest(now, *request, "drain");
     CallerDisconnected(now, id);
     if (adopted) continue;  // The reply to its next statement reports the end.
     port_->CloseCaller(id, open ? ErrorCode::kAborted : ErrorCode::kNone,
@@ -482,4 +484,30 @@
   }
 }
 
+void Proxy::Impl::ReportCutRequest(TimePoint now, const Request& request,
+                                   std::string_view reason) {
+  ++counters_.cut;
+  Event(events_, EventPriority::kState, "request_cut")
+      .Add("request", request.statement_id)
+      .Add("caller", request.caller)
+      .Add("side", SideOf(FindCaller(request.caller)))
+      .Add("reason", reason)
+      .Add("group", request.route->group)
+      .Add("database", request.database)
+      .Add("queued", request.queued ? "yes" : "no")
+      .Add("in_flight",
+           request.running_on.size() + (request.forwarded_to.empty() ? 0 : 1))
+      .Add("answered_by_database", request.unconfirmed_reply.has_value() ||
+                                           request.unproved_reply.has_value()
+                                       ? "yes"
+                                       : "no")
+      .Add("age", now - request.arrived_at);
+}
+
+void Proxy::Impl::ReportCutRequests(TimePoint now, std::string_view reason) {
+  for (const auto& [id, request] : requests_) {
+    ReportCutRequest(now, request, reason);
+  }
+}
+
 }  // namespace ryefold::core::session
--- a/src/libcore/session/proxy_impl.h
+++ b/src/libcore/session/proxy_impl.h
@@ -9,6 +9,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -34,6 +35,9 @@
   void CallerDisconnected(TimePoint now, CallerId id);
   void Drain(TimePoint now, TimePoint transactions_until, TimePoint end);
   void DrainCallers(TimePoint now);
+  void ReportCutRequest(TimePoint now, const Request& request,
+                        std::string_view reason);
+  void ReportCutRequests(TimePoint now, std::string_view reason);
   void EndIdleTransactions(TimePoint now);
 
   // proxy_identity.cc: workspaces and their limits.
@@ -119,6 +123,7 @@
   bool LacksDatabases() const;
   bool drained() const { return draining_ && callers_.empty(); }
   size_t callers() const { return callers_.size(); }
+  size_t requests() const { return requests_.size(); }
   uint64_t route_version() const { return route_table_.version; }
   void RoutesConfirmed(TimePoint when) { routes_confirmed_at_ = when; }
   const ProxyCounters& counters() const { return counters_; }
--- a/src/ryefoldd/gateway_metrics.cc
+++ b/src/ryefoldd/gateway_metrics.cc
@@ -135,6 +135,7 @@
   impl_->Figure("retries_moved_up", counters.retries_moved_up);
   impl_->Figure("queue_shortages", counters.queue_shortages);
   impl_->Figure("abandoned", counters.abandoned);
+  impl_->Figure("cut", counters.cut);
   impl_->Figure("replica_reads", counters.replica_reads);
   impl_->Figure("primary_reads", counters.primary_reads);
   impl_->Figure("connections_opened", counters.connections_opened);
--- a/src/ryefoldd/gateway_task.cc
+++ b/src/ryefoldd/gateway_task.cc
@@ -104,8 +104,11 @@
   }
 
   void Stop() {
+    proxy_->ReportCutRequests(BootTime(), "process stopped");
     Event(events_.get(), EventPriority::kState, "stopped")
-        .Add("callers", proxy_->callers());
+        .Add("callers", proxy_->callers())
+        .Add("requests", proxy_->requests())
+        .Add("connections", gateway_->callers());
     if (timer_ != nullptr) event_free(timer_);
     for (event* signal : signals_) event_free(signal);
     signals_.clear();
@@ -398,14 +401,20 @@
     mirror_->Retire();
     Event(events_.get(), EventPriority::kState, "drain_begin")
         .Add("callers", proxy_->callers())
+        .Add("requests", proxy_->requests())
         .Add("grace", settings_.stop_grace);
     const auto start = std::chrono::steady_clock::now();
     const auto until = BootTime();
+    drain_started_at_ = until;
     // Callers reach this instance until the balancer has noticed; they are
     // served as usual so long.
     const milliseconds notice =
         std::min(kBalancerNotice, settings_.stop_grace / 2);
     loop_->At(start + notice, [this, until] {
+      Event(events_.get(), EventPriority::kState, "drain_sessions")
+          .Add("callers", proxy_->callers())
+          .Add("requests", proxy_->requests())
+          .Add("after", BootTime() - until);
       const milliseconds end = std::max(settings_.stop_grace - kEndReserve,
                                         settings_.stop_grace / 2);
       proxy_->Drain(BootTime(), until + settings_.stop_grace / 2, until + end);
@@ -417,7 +426,11 @@
   void AwaitDrained(core::TimePoint end) {
     if (proxy_->drained() || BootTime() >= end) {
       Event(events_.get(), EventPriority::kState, "drain_end")
-          .Add("callers", proxy_->callers());
+          .Add("reason", proxy_->drained() ? "drained" : "deadline")
+          .Add("after", BootTime() - drain_started_at_)
+          .Add("callers", proxy_->callers())
+          .Add("requests", proxy_->requests())
+          .Add("connections", gateway_->callers());
       gateway_->StopListening();
       stopped_();
       return;
@@ -449,6 +462,7 @@
   event* timer_ = nullptr;
   core::TimePoint armed_at_ = core::TimePoint::max();
   bool draining_ = false;
+  core::TimePoint drain_started_at_;
   std::vector<std::string> instances_;
   /// Addresses that could not be listened on yet.
   int not_listening_ = 0;
