--- /dev/null
+++ b/testsuite/process_shutdown/planned_work.cc
@@ -0,0 +1,389 @@
+#include "testsuite/process_shutdown/planned_work.h"
+
+#include <event2/event.h>
+#include <signal.h>
+#include <stdlib.h>
+
+#include <filesystem>
+#include <utility>
+
+#include "testsuite/standins/lib/timer.h"
+
+namespace ryefold::testsuite {
+namespace {
+
+using core::session::ErrorCode;
+using core::session::Reply;
+using core::session::TransactionState;
+using standins::After;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+/// A statement whose connection ends later than this after it was sent counts
+/// as read.
+constexpr milliseconds kReadWithin{200};
+constexpr milliseconds kStartTime{10000};
+constexpr milliseconds kRestartDelay{100};
+constexpr milliseconds kReconnectDelay{20};
+/// Pause of a caller whose statement was refused.
+constexpr milliseconds kRetryDelay{20};
+constexpr milliseconds kPoll{10};
+/// Time for callers to finish what they have begun.
+constexpr milliseconds kFinishTime{1500};
+
+std::string Program() {
+  const char* program = std::getenv("RYEFOLD_PROGRAM");
+  return program == nullptr ? "build/ryefoldd" : program;
+}
+
+std::string MakeConfig(uint64_t version, uint32_t max_connections) {
+  std::string routes;
+  for (const char* type : {"primary", "bounded", "session"}) {
+    routes += std::string(routes.empty() ? "" : ",") + "{\"name\":\"" + type +
+              "\",\"host\":\"" + type + "\",\"type\":\"" + type +
+              "\",\"timeout_ms\":" + std::to_string(1000 + version % 2) +
+              ",\"goal_ms\":400,\"priority\":1,\"service\":\"group\","
+              "\"max_staleness_ms\":1500}";
+  }
+  return "{\"version\":" + std::to_string(version) + ",\"routes\":[" + routes +
+         "],\"services\":[{\"name\":\"group\",\"max_conns\":" +
+         std::to_string(max_connections) +
+         "}],\"limits\":{\"tx_idle_ms\":3000}}";
+}
+
+}  // namespace
+
+PlannedWork::PlannedWork(const PlannedWorkOptions& options)
+    : options_(options),
+      random_(options.seed),
+      base_(event_base_new()),
+      ports_(base_, options.seed),
+      store_(base_),
+      databases_(base_, &store_, "group"),
+      promotion_(base_, wire::HttpLimits(), [](const wire::HttpExchange& call) {
+        ADD_FAILURE() << "a database was promoted: " << call.body();
+      }) {}
+
+PlannedWork::~PlannedWork() {
+  instances_.clear();
+  if (!testing::Test::HasFailure()) std::filesystem::remove_all(folder_);
+}
+
+void PlannedWork::Start() {
+  std::string folder =
+      (std::filesystem::temp_directory_path() / "shutdown-XXXXXX").string();
+  ASSERT_NE(mkdtemp(folder.data()), nullptr);
+  folder_ = folder;
+  ASSERT_EQ(store_.Listen("127.0.0.1:0"), "");
+  ASSERT_EQ(promotion_.Listen("127.0.0.1:0"), "");
+  ASSERT_EQ(databases_.Start(), "");
+  for (const char* id : {"db-a", "db-b", "db-c"}) {
+    databases_.cluster().database(id).max_connections =
+        options_.max_connections;
+  }
+  store_.Put("op/config", MakeConfig(version_, options_.max_connections));
+  for (size_t i = 0; i < options_.instances; ++i) AddInstance(i);
+  WatchStops();
+  const auto deadline = steady_clock::now() + kStartTime;
+  for (size_t i = 0; i < options_.instances; ++i) {
+    bool accepted = false;
+    while (!accepted && steady_clock::now() < deadline) {
+      const auto probe = std::make_shared<RecordingCaller>(
+          base_, AddressOf(i), "primary", OnNotice::kClose, milliseconds(0));
+      probe->SetCallbacks(
+          {[&accepted] { accepted = true; }, [](const Reply&) {}, [] {}});
+      RunFor(milliseconds(100));
+      probe->Close();
+    }
+    ASSERT_TRUE(accepted) << "instance " << i << ", logs in " << folder_;
+  }
+}
+
+void PlannedWork::AddInstance(size_t index) {
+  standins::InstanceConfig config;
+  config.program = Program();
+  config.folder = folder_;
+  config.name = "i" + std::to_string(index);
+  config.failure_domain = std::string(1, static_cast<char>('a' + index % 3));
+  config.host = ports_.host();
+  config.session_port = ports_.NextFree();
+  config.ready_port = ports_.NextFree();
+  config.peer_port = ports_.NextFree();
+  config.store_port = store_.port();
+  config.promotion_port = promotion_.port();
+  config.stop_grace = options_.grace;
+  instances_.push_back(std::make_unique<standins::InstanceProcess>(config));
+  stops_.emplace_back();
+  instances_.back()->Start();
+}
+
+std::string PlannedWork::AddressOf(size_t instance) const {
+  return ports_.Address(instances_[instance]->config().session_port);
+}
+
+void PlannedWork::RunFor(milliseconds duration) {
+  bool elapsed = false;
+  After(base_, duration, [&elapsed] { elapsed = true; });
+  while (!elapsed) event_base_loop(base_, EVLOOP_ONCE);
+}
+
+// ---- planned work ----
+
+void PlannedWork::Terminate(size_t instance) {
+  Stop& stop = stops_[instance];
+  instances_[instance]->SendSignal(SIGTERM);
+  if (std::exchange(stop.active, true)) return;
+  ++stops_made_;
+  stop.kill_at = steady_clock::now() + options_.grace;
+}
+
+void PlannedWork::Reload(size_t instance) {
+  instances_[instance]->SendSignal(SIGHUP);
+}
+
+void PlannedWork::ChangeConfiguration() {
+  store_.Put("op/config", MakeConfig(++version_, options_.max_connections));
+}
+
+void PlannedWork::DoRandomWork() {
+  const size_t instance = RandomBelow(instances_.size());
+  switch (RandomBelow(5)) {
+    case 0:
+      return ChangeConfiguration();
+    case 1:
+      return Reload(instance);
+    default:
+      return Terminate(instance);
+  }
+}
+
+bool PlannedWork::IsRunning(size_t instance) {
+  return instances_[instance]->IsRunning();
+}
+
+/// Kills what outlasts the grace, and restarts what has ended.
+void PlannedWork::WatchStops() {
+  for (size_t i = 0; i < instances_.size(); ++i) {
+    Stop& stop = stops_[i];
+    standins::InstanceProcess& instance = *instances_[i];
+    if (!stop.active) {
+      EXPECT_TRUE(instance.IsRunning())
+          << instance.config().name << " ended by itself, logs in " << folder_;
+      continue;
+    }
+    if (instance.pid() != 0 && instance.IsRunning()) {
+      if (steady_clock::now() < stop.kill_at) continue;
+      ADD_FAILURE() << instance.config().name
+                    << " outlasted its grace, logs in " << folder_;
+      instance.Kill();
+    }
+    if (finishing_) continue;
+    After(base_, kRestartDelay, [this, i] {
+      if (instances_[i]->pid() != 0) return;
+      instances_[i]->Start();
+      stops_[i].active = false;
+    });
+  }
+  After(base_, kPoll, [this] { WatchStops(); });
+}
+
+void PlannedWork::AwaitStops() {
+  const auto stopping = [this] {
+    for (const Stop& stop : stops_) {
+      if (stop.active) return true;
+    }
+    return false;
+  };
+  while (stopping()) RunFor(kPoll);
+}
+
+// ---- callers ----
+
+void PlannedWork::AddCallers(size_t count, const CallerStyle& style) {
+  for (size_t i = 0; i < count; ++i) {
+    Caller caller;
+    caller.style = style;
+    caller.instance = callers_.size() % instances_.size();
+    callers_.push_back(caller);
+    Connect(callers_.size() - 1);
+  }
+}
+
+void PlannedWork::Connect(size_t number) {
+  if (finishing_) return;
+  Caller& caller = callers_[number];
+  const char* route = number % 2 == 0 ? "primary" : "session";
+  caller.session = std::make_shared<RecordingCaller>(
+      base_, AddressOf(caller.instance), route, caller.style.on_notice,
+      options_.latency);
+  caller.operation = Operation();
+  caller.outstanding = 0;
+  caller.session->SetCallbacks(
+      {[this, number] { SendOperation(number); },
+       [this, number](const Reply& reply) { OnAnswer(number, reply); },
+       [this, number] { OnEnded(number); }});
+}
+
+void PlannedWork::OnEnded(size_t number) {
+  Caller& caller = callers_[number];
+  EXPECT_FALSE(caller.session->unasked())
+      << "an answer to nothing, logs in " << folder_;
+  // Kept, because its handlers are on the call stack.
+  ended_sessions_.push_back(std::move(caller.session));
+  caller.session = nullptr;
+  if (!instances_[caller.instance]->IsRunning()) {
+    caller.instance = RandomBelow(instances_.size());
+  }
+  After(base_, kReconnectDelay, [this, number] { Connect(number); });
+}
+
+void PlannedWork::SendOperation(size_t number) {
+  Caller& caller = callers_[number];
+  if (caller.session == nullptr || caller.outstanding > 0) return;
+  if (finishing_) {
+    caller.session->Close();
+    return;
+  }
+  caller.operation = Operation();
+  if (RandomBelow(100) < caller.style.transactions) {
+    caller.operation.open = true;
+    caller.operation.steps_left = static_cast<uint32_t>(1 + RandomBelow(3));
+    Send(number, "BEGIN", false);
+    return;
+  }
+  for (uint32_t i = 0; i < caller.style.pipelined; ++i) {
+    const bool write = RandomBelow(100) < 30;
+    const std::string item = "k" + std::to_string(RandomBelow(20));
+    Send(number, write ? "WRITE " + item + " data" : "READ " + item, write);
+    if (caller.session == nullptr) return;
+  }
+}
+
+void PlannedWork::SendNextOfTransaction(size_t number) {
+  Caller& caller = callers_[number];
+  Operation& operation = caller.operation;
+  if (operation.steps_left > 0 && !operation.roll_back) {
+    --operation.steps_left;
+    const std::string item = "k" + std::to_string(RandomBelow(20));
+    const bool write = RandomBelow(2) == 0;
+    Send(number, write ? "WRITE " + item + " data" : "READ " + item, write);
+    return;
+  }
+  operation.open = false;
+  Send(number, operation.roll_back ? "ROLLBACK" : "COMMIT", false);
+}
+
+void PlannedWork::Send(size_t number, const std::string& text, bool write) {
+  Caller& caller = callers_[number];
+  auto statement = std::make_shared<RecordedStatement>();
+  statement->id = NewId();
+  statement->text = text;
+  statement->instance = instances_[caller.instance]->config().name;
+  statement->in_transaction = caller.operation.open;
+  statement->on_notice = caller.style.on_notice;
+  if (write) caller.operation.writes.push_back(statement->id);
+  statements_.push_back(statement);
+  ++caller.outstanding;
+  caller.session->Send(statement);
+}
+
+void PlannedWork::OnAnswer(size_t number, const Reply& reply) {
+  Caller& caller = callers_[number];
+  --caller.outstanding;
+  Operation& operation = caller.operation;
+  const StatementRef statement = caller.session->last_answered();
+  const bool no_effect =
+      reply.error == ErrorCode::kBusy || reply.error == ErrorCode::kAborted;
+  const bool write = statement->text.rfind("WRITE", 0) == 0;
+  const bool single = !statement->in_transaction && write;
+  if (no_effect && single) must_not_commit_.insert(statement->id);
+  if (reply.ok() && single) must_commit_.insert(statement->id);
+  if (no_effect && !single) {
+    must_not_commit_.insert(operation.writes.begin(), operation.writes.end());
+  }
+  if (statement->text == "COMMIT" && reply.ok()) {
+    must_commit_.insert(operation.writes.begin(), operation.writes.end());
+  }
+  if (operation.open) {
+    if (reply.state == TransactionState::kIdle) operation.open = false;
+    if (!reply.ok()) operation.roll_back = true;
+  }
+  if (caller.outstanding > 0) return;
+  const milliseconds pause =
+      milliseconds(RandomBelow(caller.style.pause.count() + 1)) +
+      (no_effect ? kRetryDelay : milliseconds(0));
+  const auto next = [this, number, session = caller.session] {
+    Caller& again = callers_[number];
+    if (again.session != session) return;
+    if (again.operation.open) {
+      SendNextOfTransaction(number);
+    } else if (again.style.one_operation) {
+      again.session->Close();
+    } else {
+      SendOperation(number);
+    }
+  };
+  if (pause > milliseconds(0)) {
+    After(base_, pause, next);
+  } else {
+    next();
+  }
+}
+
+// ---- checks ----
+
+void PlannedWork::FinishAndCheck() {
+  AwaitStops();
+  finishing_ = true;
+  RunFor(kFinishTime);
+  for (const auto& instance : instances_) {
+    EXPECT_FALSE(instance->crashed())
+        << instance->config().name << ", logs in " << folder_;
+  }
+  size_t unanswered = 0;
+  std::map<std::string, size_t> outcomes;
+  for (const StatementRef& statement : statements_) {
+    CheckStatement(*statement);
+    unanswered += statement->answered ? 0 : 1;
+    if (statement->answered) {
+      ++outcomes[std::string(core::session::ErrorName(statement->error))];
+    }
+  }
+  for (const std::string& id : must_not_commit_) {
+    EXPECT_EQ(databases_.cluster().TimesCommitted(id), 0U)
+        << "committed although its answer denied it: " << id;
+  }
+  for (const std::string& id : must_commit_) {
+    EXPECT_EQ(databases_.cluster().TimesCommitted(id), 1U)
+        << "acknowledged, not committed once: " << id;
+  }
+  std::cout << "seed=" << options_.seed << " stops=" << stops_made_
+            << " statements=" << statements_.size()
+            << " unanswered=" << unanswered;
+  for (const auto& [name, count] : outcomes) {
+    std::cout << " " << name << "=" << count;
+  }
+  std::cout << std::endl;
+}
+
+void PlannedWork::CheckStatement(const RecordedStatement& statement) {
+  if (statement.answered) return;
+  const auto waited = statement.ended_at - statement.sent_at;
+  const auto waited_ms =
+      std::chrono::duration_cast<milliseconds>(waited).count();
+  EXPECT_FALSE(databases_.HasReceived(statement.id))
+      << statement.id << " " << statement.text << " at " << statement.instance
+      << " was passed on and got no answer; its connection ended after "
+      << waited_ms << " ms, logs in " << folder_;
+  EXPECT_LE(waited, kReadWithin)
+      << statement.id << " " << statement.text << " at " << statement.instance
+      << " got no answer, logs in " << folder_;
+  if (statement.on_notice == OnNotice::kClose) {
+    ADD_FAILURE() << statement.id << " " << statement.text << " at "
+                  << statement.instance
+                  << " was sent on an open session and got no answer after "
+                  << waited_ms << " ms, logs in " << folder_;
+  }
+}
+
+}  // namespace ryefold::testsuite
--- a/testsuite/soak/main.cc
+++ b/testsuite/soak/main.cc
@@ -9,7 +9,6 @@
 #include <gtest/gtest.h>
 #include <signal.h>
 #include <stdlib.h>
-#include <unistd.h>
 
 #include <cxxopts.hpp>
 #include <fstream>
@@ -18,15 +17,15 @@
 #include <map>
 #include <memory>
 #include <random>
-#include <set>
 #include <string>
 #include <vector>
 
 #include "ryefold/wire/http.h"
-#include "testsuite/soak/instance_process.h"
 #include "testsuite/soak/tcp_proxy.h"
+#include "testsuite/standins/lib/instance_process.h"
 #include "testsuite/standins/lib/key_value.h"
 #include "testsuite/standins/lib/line_databases.h"
+#include "testsuite/standins/lib/local_ports.h"
 #include "testsuite/standins/lib/timer.h"
 #include "testsuite/support/event/session_link.h"
 #include "testsuite/support/session/checked_callers.h"
@@ -39,30 +38,19 @@
 using core::session::Reply;
 using core::session::Statement;
 using standins::After;
+using standins::InstanceConfig;
+using standins::InstanceProcess;
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 using testsuite::SessionLink;
 
 constexpr CallerId kCallers = 24;
 constexpr size_t kInstances = 4;
-constexpr uint16_t kFirstPort = 10000;
-constexpr uint16_t kPortCount = 20000;
 /// Time without a reply after which a caller abandons its session.
 constexpr milliseconds kReplyTimeout{4000};
 /// Time for recovery after the last fault.
 constexpr milliseconds kRecoveryTime{6000};
 
-/// Returns a loopback address of this process alone. An instance's port is free
-/// while the instance restarts; on a shared address, an instance of another run
-/// could take it and answer this run's callers.
-std::string OwnLoopbackAddress() {
-  constexpr uint32_t kByteValues = 256;
-  const auto pid = static_cast<uint32_t>(getpid());
-  return "127." + std::to_string(1 + pid / kByteValues / kByteValues) + "." +
-         std::to_string(pid / kByteValues % kByteValues) + "." +
-         std::to_string(pid % kByteValues);
-}
-
 /// Names in the log of injected faults, by the number that `InjectFault` draws.
 constexpr const char* kFaultNames[] = {
     "database_link",    "database_link",        "database_link_reset",
@@ -105,8 +93,8 @@
         options_(options),
         faults_(options.seed),
         lost_replies_(options.seed),
-        port_numbers_(options.seed),
         base_(event_base_new()),
+        ports_(base_, options.seed),
         store_(base_),
         databases_(base_, &store_, "group"),
         promotion_(base_, wire::HttpLimits(),
@@ -163,28 +151,15 @@
     config.folder = options_.folder;
     config.name = "i" + std::to_string(index);
     config.failure_domain = std::string(1, static_cast<char>('a' + index % 3));
-    config.host = host_;
-    config.session_port = FreePort();
-    config.ready_port = FreePort();
-    config.peer_port = FreePort();
+    config.host = ports_.host();
+    config.session_port = ports_.NextFree();
+    config.ready_port = ports_.NextFree();
+    config.peer_port = ports_.NextFree();
     config.store_port = store_links_.back()->port();
     config.promotion_port = promotion_.port();
     instances_.push_back(std::make_unique<InstanceProcess>(config));
     instances_.back()->Start();
   }
-  /// Returns a free port outside the kernel's ephemeral range, where an
-  /// outgoing connection could take the port while an instance restarts.
-  uint16_t FreePort() {
-    while (true) {
-      const auto port =
-          static_cast<uint16_t>(kFirstPort + port_numbers_() % kPortCount);
-      wire::HttpServer probe(base_, wire::HttpLimits(),
-                             [](const wire::HttpExchange&) {});
-      const bool free =
-          probe.Listen(host_ + ":" + std::to_string(port)).empty();
-      if (free && ports_.insert(port).second) return port;
-    }
-  }
   void RunFor(milliseconds duration) {
     bool elapsed = false;
     After(base_, duration, [&elapsed] { elapsed = true; });
@@ -336,9 +311,7 @@
     const uint64_t number = session_number(id);
     const size_t instance = (id + session_attempts_++) % kInstances;
     sessions_[id] = std::make_shared<SessionLink>(
-        base_,
-        host_ + ":" +
-            std::to_string(instances_[instance]->config().session_port),
+        base_, ports_.Address(instances_[instance]->config().session_port),
         route,
         [this, id, number](const Reply& reply) {
           if (number != session_number(id)) return;
@@ -393,11 +366,10 @@
   // faults of a seed are the same in each run.
   std::mt19937_64 faults_;
   std::mt19937_64 lost_replies_;
-  std::mt19937_64 port_numbers_;
-  const std::string host_ = OwnLoopbackAddress();
   const steady_clock::time_point started_at_ = steady_clock::now();
   std::ofstream fault_log_{options_.folder + "/faults.log"};
   event_base* base_;
+  standins::LocalPorts ports_;
   standins::KeyValueStandin store_;
   standins::LineDatabases databases_;
   wire::HttpServer promotion_;
@@ -408,7 +380,6 @@
   std::vector<std::shared_ptr<SessionLink>> closed_sessions_;
   std::map<CallerId, uint64_t> activity_;
   uint64_t session_attempts_ = 0;
-  std::set<uint16_t> ports_;
   uint64_t config_version_ = 1;
   bool faults_ended_ = false;
 };
--- a/testsuite/soak/instance_process.cc
+++ b/testsuite/standins/lib/instance_process.cc
@@ -1,4 +1,4 @@
-#include "testsuite/soak/instance_process.h"
+#include "testsuite/standins/lib/instance_process.h"
 
 #include <errno.h>
 #include <fcntl.h>
@@ -10,7 +10,7 @@
 #include <fstream>
 #include <utility>
 
-namespace ryefold::soak {
+namespace ryefold::standins {
 namespace {
 
 /// Where the stand-ins of a run listen, on ports that the kernel chooses.
@@ -33,7 +33,8 @@
                       << AddressJson(kLoopback, config.store_port)
                       << ",\n  \"promotion_address\": "
                       << AddressJson(kLoopback, config.promotion_port)
-                      << ",\n  \"stop_grace_s\": 2\n}\n";
+                      << ",\n  \"stop_grace_s\": " << config.stop_grace.count()
+                      << "\n}\n";
 }
 
 }  // namespace
@@ -49,7 +50,7 @@
   WriteSettings(config_, settings);
   int executed[2];
   if (pipe2(executed, O_CLOEXEC) != 0) {
-    perror("soak_sessions: pipe2");
+    perror("instance process: pipe2");
     return;
   }
   const pid_t pid = fork();
@@ -94,4 +95,4 @@
   return false;
 }
 
-}  // namespace ryefold::soak
+}  // namespace ryefold::standins
--- a/testsuite/soak/instance_process.h
+++ b/testsuite/standins/lib/instance_process.h
@@ -4,10 +4,11 @@
 
 #include <sys/types.h>
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 
-namespace ryefold::soak {
+namespace ryefold::standins {
 
 /// Program, addresses and folders of an instance.
 struct InstanceConfig {
@@ -23,6 +24,8 @@
   uint16_t peer_port = 0;
   uint16_t store_port = 0;
   uint16_t promotion_port = 0;
+  /// Time from SIGTERM until the platform would kill the process.
+  std::chrono::seconds stop_grace{2};
 };
 
 /// Starts, signals and kills one child process, always by its process id.
@@ -43,6 +46,7 @@
   /// Returns whether the process ever ended by a signal other than that of
   /// `Kill` or with a nonzero status.
   bool crashed() const { return crashed_; }
+  pid_t pid() const { return pid_; }
   const InstanceConfig& config() const { return config_; }
 
  private:
@@ -51,4 +55,4 @@
   bool crashed_ = false;
 };
 
-}  // namespace ryefold::soak
+}  // namespace ryefold::standins
--- a/testsuite/standins/lib/line_databases.cc
+++ b/testsuite/standins/lib/line_databases.cc
@@ -96,7 +96,9 @@
     if (verb == "START") {
       Start(rest);
     } else if (verb == "QUERY" && session_.has_value()) {
-      owner_->cluster_.Call(*session_, DecodeCall(rest),
+      BackendCall call = DecodeCall(rest);
+      owner_->received_.insert(call.id);
+      owner_->cluster_.Call(*session_, call,
                             [this](const Reply& reply) { Answer(reply); });
     } else {
       Close();
--- a/testsuite/standins/lib/line_databases.h
+++ b/testsuite/standins/lib/line_databases.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -47,6 +48,11 @@
   /// Takes the call that promotes; the HTTP status of the answer.
   int Promote(const std::string& id, uint64_t token);
   void Register();
+  /// Returns whether a database has received the caller's statement, run or
+  /// not.
+  bool HasReceived(const std::string& statement_id) const {
+    return received_.count(statement_id) > 0;
+  }
   /// Sends half of a line on every connection, then closes: a database that
   /// ends in the middle of an answer.
   void CutInMidLine();
@@ -74,6 +80,7 @@
   std::map<std::string, Server> servers_;
   std::vector<std::unique_ptr<Link>> links_;
   uint64_t highest_token_ = 0;
+  std::set<std::string> received_;
 };
 
 }  // namespace ryefold::standins
