Sessions: a drain begins no operation and answers whatever was read

Cause, two ways of one class: the instance gave up its sessions while it still took work. (1) A session was closed only if the timer of 50 ms found it idle, so one that sends its next statement at once, or starts during the drain, stayed until 0.7 s before the end of the grace and was cut off there, by DrainCallers (told ABORTED, also with a COMMIT outstanding) or by the end of the task (told nothing), whichever timer was first. (2) After 'drained' the loop went on until another thread had stopped it, and took sessions and statements meanwhile. A statement that crossed the end of its session was lost in either case.

Why this works: work cannot outrun the end, since none begins. After the balancer's notice (2.4 s) every way in refuses at once with BUSY, which is true: new sessions, transactions, single statements, and those that other instances forward, which then try another keeper. What has begun ends within its route's timeout, transactions within half of the grace. A session ends with an ERROR that its caller has not asked for; PROTOCOL.md has the caller close on it. A statement that crosses it takes the ERROR for its answer and gets the READY that completes it, so it is refused and not lost. What is left 0.9 s before the end of the grace is answered by what is known of it (GiveUp, as at a timeout): BUSY only if nobody has it, INDOUBT for a commit or write that was sent. Callers' connections are closed in the turn that decides to stop.

Tried and dropped: closing idle sessions without the ERROR, which loses the statements that cross it.

--- a/src/include/ryefold/core/session/port.h
+++ b/src/include/ryefold/core/session/port.h
@@ -26,10 +26,14 @@
   /// Accepts the caller's session.
   virtual void AcceptCaller(CallerId caller) = 0;
   virtual void ReplyToCaller(CallerId caller, const Reply& reply) = 0;
-  /// Closes the caller's connection, after sending the error unless it is
-  /// kNone.
-  virtual void CloseCaller(CallerId caller, ErrorCode error,
-                           const std::string& text) = 0;
+  /// Refuses the caller's session and closes its connection.
+  virtual void RefuseCaller(CallerId caller, ErrorCode error,
+                            const std::string& text) = 0;
+  /// Ends an accepted session without a pending statement, telling the caller
+  /// why. A statement that was under way is answered with the same error, which
+  /// must therefore be one that means that it has not run.
+  virtual void EndSession(CallerId caller, ErrorCode error,
+                          const std::string& text) = 0;
 
   /// Opens a connection dedicated to `workspace` for its lifetime; empty for
   /// connections without a workspace.
--- a/src/include/ryefold/core/session/proxy.h
+++ b/src/include/ryefold/core/session/proxy.h
@@ -210,9 +210,15 @@
   void ExpectPrimary(TimePoint now, const std::string& group,
                      const std::string& database);
 
-  /// Closes sessions as they become idle. Open transactions may continue until
-  /// `transactions_until`; all sessions are closed at `end`.
+  /// Begins no operation from now on: new sessions, transactions and single
+  /// statements are refused, and sessions are ended between operations. Open
+  /// transactions may continue until `transactions_until`. At `end` the rest is
+  /// answered as by `EndSessions`.
   void Drain(TimePoint now, TimePoint transactions_until, TimePoint end);
+  /// Answers every pending statement, as denied only if it has not run, and
+  /// ends all sessions. Only after `Drain`.
+  void EndSessions(TimePoint now);
+  /// Whether no session is left after `Drain`.
   bool drained() const;
   /// Reports each request in progress as cut; its session ends without an
   /// answer.
--- a/src/libcore/session/proxy.cc
+++ b/src/libcore/session/proxy.cc
@@ -275,6 +275,7 @@
 void Proxy::Drain(TimePoint now, TimePoint transactions_until, TimePoint end) {
   impl_->Drain(now, transactions_until, end);
 }
+void Proxy::EndSessions(TimePoint now) { impl_->EndSessions(now); }
 bool Proxy::drained() const { return impl_->drained(); }
 void Proxy::ReportCutRequests(TimePoint now, std::string_view reason) {
   impl_->ReportCutRequests(now, reason);
--- a/src/libcore/session/proxy_callers.cc
+++ b/src/libcore/session/proxy_callers.cc
@@ -16,6 +16,9 @@
 /// Added to the configured idle timeout of a transaction, so that timer
 /// inaccuracy never ends one early.
 constexpr milliseconds kIdleTimeoutMargin{100};
+/// What logs and callers are told while this instance drains.
+constexpr const char* kLeavingReason = "leaving";
+constexpr const char* kLeavingText = "instance is leaving";
 
 bool IsTransactionEnd(StatementKind kind) {
   return kind == StatementKind::kCommit || kind == StatementKind::kRollback;
@@ -39,7 +42,16 @@
   // Other instances are usually further in their start-up, also after a power
   // loss: a refused caller is served elsewhere sooner than it would be here.
   if (!IsInitialized()) {
-    port_->CloseCaller(id, ErrorCode::kBusy, "no configuration yet");
+    port_->RefuseCaller(id, ErrorCode::kBusy, "no configuration yet");
+    return;
+  }
+  if (draining_) {
+    Event(events_, EventPriority::kRequest, "caller_refused")
+        .Add("caller", id)
+        .Add("database", route)
+        .Add("reason", kLeavingReason);
+    port_->RefuseCaller(id, ErrorCode::kBusy,
+                        std::string(kLeavingText) + " retry-after-ms=0");
     return;
   }
   const std::shared_ptr<const Route> found = RouteOf(route);
@@ -50,14 +62,17 @@
         .Add("reason", "no_route")
         .Add("config_version", route_table_.version)
         .Add("config_age", now - routes_confirmed_at_);
-    port_->CloseCaller(id, ErrorCode::kNoRoute, route);
+    port_->RefuseCaller(id, ErrorCode::kNoRoute, route);
     return;
   }
   Caller caller;
   caller.id = id;
   caller.route = route;
   caller.key = key;
-  if (!AdmitCaller(now, *found, &caller)) return;
+  if (!AdmitCaller(now, *found, &caller)) {
+    port_->RefuseCaller(id, ErrorCode::kUnknownKey, "key is not configured");
+    return;
+  }
   callers_.emplace(id, std::move(caller));
   port_->AcceptCaller(id);
 }
@@ -168,6 +183,12 @@
     return;
   }
   if (AnswerWithoutDatabase(now, caller, statement)) return;
+  if (draining_ && now >= transactions_until_ &&
+      caller->state == TransactionState::kOpen) {
+    EndTransaction(now, caller, /*roll_back=*/true);
+    AnswerLocally(caller, ErrorCode::kAborted, kLeavingText);
+    return;
+  }
 
   Request request;
   request.caller = id;
@@ -237,7 +258,12 @@
     AnswerLocally(caller, ErrorCode::kNoRoute, caller->route);
     return;
   }
-  if (!caller->adopted && !AdmitCaller(now, *request.route, caller)) return;
+  if (!caller->adopted && !AdmitCaller(now, *request.route, caller)) {
+    const CallerId id = caller->id;
+    CallerDisconnected(now, id);
+    port_->RefuseCaller(id, ErrorCode::kUnknownKey, "key is not configured");
+    return;
+  }
   if (caller->group != request.route->group) {
     caller->group = request.route->group;
     caller->committed = LogPosition();
@@ -252,7 +278,15 @@
   } else {
     request.requirement = Requirement::kReadAtPosition;
   }
-  StartOperation(now, *caller, AddRequest(std::move(request)));
+  Request* added = AddRequest(std::move(request));
+  if (draining_) {
+    // Another instance that forwarded the statement tries a different keeper.
+    RefuseRequest(now, added,
+                  caller->adopted ? ErrorCode::kNotReady : ErrorCode::kBusy,
+                  milliseconds(0), kLeavingReason);
+    return;
+  }
+  StartOperation(now, *caller, added);
 }
 
 void Proxy::Impl::SetTimer(Request* request, TimePoint when) {
@@ -462,26 +496,51 @@
   DrainCallers(now);
 }
 
-/// Closes idle sessions, so that their callers reconnect to another instance.
+/// Ends sessions between operations, so that their callers reconnect to another
+/// instance.
 void Proxy::Impl::DrainCallers(TimePoint now) {
+  if (now >= drain_end_) {
+    EndSessions(now);
+    return;
+  }
   std::vector<CallerId> ended;
-  for (auto& [id, caller] : callers_) {
-    const bool idle =
-        caller.request == 0 && caller.state == TransactionState::kIdle;
-    const bool past_deadline =
-        now >= transactions_until_ && caller.request == 0;
-    if (idle || past_deadline || now >= drain_end_) ended.push_back(id);
-  }
-  for (const CallerId id : ended) {
-    const bool open = callers_.at(id).state == TransactionState::kOpen;
-    const bool adopted = callers_.at(id).adopted;
-    const Request* request = FindRequest(callers_.at(id).request);
-    if (request != nullptr) ReportCutRequest(now, *request, "drain");
-    CallerDisconnected(now, id);
-    if (adopted) continue;  // The reply to its next statement reports the end.
-    port_->CloseCaller(id, open ? ErrorCode::kAborted : ErrorCode::kNone,
-                       "instance is leaving");
+  for (const auto& [id, caller] : callers_) {
+    if (caller.request != 0) continue;
+    const bool idle = caller.state == TransactionState::kIdle;
+    if (idle || now >= transactions_until_) ended.push_back(id);
   }
+  for (const CallerId id : ended) EndSession(now, id);
+}
+
+void Proxy::Impl::EndSessions(TimePoint now) {
+  std::vector<RequestId> pending;
+  for (const auto& [id, request] : requests_) pending.push_back(id);
+  for (const RequestId id : pending) {
+    Request* request = FindRequest(id);
+    if (request == nullptr) continue;
+    // The end of the drain is the end of its time: nothing is tried again.
+    request->timeout_at = std::min(request->timeout_at, now);
+    GiveUp(now, request, kLeavingReason, kLeavingText);
+  }
+  std::vector<CallerId> ended;
+  for (const auto& [id, caller] : callers_) ended.push_back(id);
+  for (const CallerId id : ended) EndSession(now, id);
+}
+
+/// Ends a session that has no pending request and rolls back its transaction.
+void Proxy::Impl::EndSession(TimePoint now, CallerId id) {
+  const Caller& caller = callers_.at(id);
+  const bool idle = caller.state == TransactionState::kIdle;
+  const bool adopted = caller.adopted;
+  Event(events_, EventPriority::kRequest, "session_ended")
+      .Add("caller", id)
+      .Add("side", SideOf(&caller))
+      .Add("reason", kLeavingReason)
+      .Add("in_transaction", idle ? "no" : "yes");
+  CallerDisconnected(now, id);
+  if (adopted) return;  // The reply to its next statement reports the end.
+  port_->EndSession(id, idle ? ErrorCode::kBusy : ErrorCode::kAborted,
+                    std::string(kLeavingText) + " retry-after-ms=0");
 }
 
 void Proxy::Impl::ReportCutRequest(TimePoint now, const Request& request,
--- a/src/libcore/session/proxy_identity.cc
+++ b/src/libcore/session/proxy_identity.cc
@@ -11,8 +11,8 @@
 
 using workspace::Identity;
 
-/// Assigns the caller to its workspace on this route. If the key is not
-/// configured, closes the session and returns false.
+/// Assigns the caller to its workspace on this route. Returns false if the key
+/// is not configured.
 bool Proxy::Impl::AdmitCaller(TimePoint now, const Route& route,
                               Caller* caller) {
   const Identity identity =
@@ -29,9 +29,6 @@
       .Add("key_fingerprint", workspace::Fingerprint(caller->key))
       .Add("config_version", route_table_.version)
       .Add("config_age", now - routes_confirmed_at_);
-  const CallerId id = caller->id;
-  CallerDisconnected(now, id);
-  port_->CloseCaller(id, ErrorCode::kUnknownKey, "key is not configured");
   return false;
 }
 
@@ -95,7 +92,7 @@
     CallerDisconnected(now, id);
     revoked_callers_.erase(id);
     if (adopted) continue;  // The reply to its next statement reports the end.
-    port_->CloseCaller(id, ErrorCode::kUnknownKey, "key was taken away");
+    port_->RefuseCaller(id, ErrorCode::kUnknownKey, "key was taken away");
   }
 }
 
--- a/src/libcore/session/proxy_impl.h
+++ b/src/libcore/session/proxy_impl.h
@@ -35,6 +35,7 @@
   void CallerDisconnected(TimePoint now, CallerId id);
   void Drain(TimePoint now, TimePoint transactions_until, TimePoint end);
   void DrainCallers(TimePoint now);
+  void EndSessions(TimePoint now);
   void ReportCutRequest(TimePoint now, const Request& request,
                         std::string_view reason);
   void ReportCutRequests(TimePoint now, std::string_view reason);
@@ -71,6 +72,8 @@
   void CallAnswered(TimePoint now, ConnectionId id, Reply reply);
   void ConnectionLost(TimePoint now, ConnectionId id);
   void TimeOut(TimePoint now, Request* request);
+  void GiveUp(TimePoint now, Request* request, const std::string& reason,
+              const std::string& text);
 
   // proxy_confirming.cc: commits that wait for a replica.
   void MaintainCommits(TimePoint now, Group* group);
@@ -155,6 +158,7 @@
   void OpenTransaction(Caller* caller, const Request& begin);
   void FailTransaction(TimePoint now, Caller* caller);
   void EndTransaction(TimePoint now, Caller* caller, bool roll_back);
+  void EndSession(TimePoint now, CallerId id);
   Request* AddRequest(Request request);
   void SetTimer(Request* request, TimePoint when);
   void FinishRequest(TimePoint now, Request* request, Reply reply);
--- a/src/libcore/session/proxy_replies.cc
+++ b/src/libcore/session/proxy_replies.cc
@@ -423,6 +423,14 @@
 
 /// Handles the end of the route's statement timeout.
 void Proxy::Impl::TimeOut(TimePoint now, Request* request) {
+  GiveUp(now, request, "not_in_time", "no answer in time");
+}
+
+/// Answers a request whose time is over by what is known of it. `reason` is
+/// that of the refusal if no database and no keeper has the statement; `text`
+/// explains any other answer.
+void Proxy::Impl::GiveUp(TimePoint now, Request* request,
+                         const std::string& reason, const std::string& text) {
   if (request->unconfirmed_reply.has_value()) {
     FinishInDoubt(now, request, "no replica has received it");
     return;
@@ -433,14 +441,14 @@
   }
   if (request->running_on.empty() && request->forwarded_to.empty()) {
     RefuseRequest(now, request, ErrorCode::kBusy,
-                  WithinPatience(now, *request, kRetryAfter), "not_in_time");
+                  WithinPatience(now, *request, kRetryAfter), reason);
     return;
   }
   Caller* caller = FindCaller(request->caller);
   const bool commit = request->statement.kind == StatementKind::kCommit;
   Reply reply;
   reply.error = ErrorCode::kTimeout;
-  reply.error_text = "no answer in time";
+  reply.error_text = text;
   if (request->requirement == Requirement::kTransaction) {
     // The connection is closed: a late reply must not be taken for the reply to
     // the next statement, and the database rolls back.
--- a/src/ryefoldd/gateway_task.cc
+++ b/src/ryefoldd/gateway_task.cc
@@ -41,11 +41,14 @@
 /// the balancer asks once a second and takes it out after two misses.
 constexpr milliseconds kBalancerNotice{2400};
 /// Kept back from the grace for the last answers and the end of the process.
-constexpr milliseconds kEndReserve{700};
+constexpr milliseconds kEndReserve{900};
+/// Time for callers to read their last answers and to close, within the
+/// reserve.
+constexpr milliseconds kCallerCloseTimeout{400};
 /// Pause between attempts to listen on an address, and how many are made.
 constexpr milliseconds kListenRetry{200};
 constexpr int kListenTries = 25;
-/// Pace at which the end of the last session is looked for.
+/// Interval at which the end of the last session is checked.
 constexpr milliseconds kDrainPoll{50};
 
 }  // namespace
@@ -423,20 +426,41 @@
     });
   }
 
+  /// Waits until no session is left, and ends those that are left at `end`.
   void AwaitDrained(core::TimePoint end) {
-    if (proxy_->drained() || BootTime() >= end) {
-      Event(events_.get(), EventPriority::kState, "drain_end")
-          .Add("reason", proxy_->drained() ? "drained" : "deadline")
-          .Add("after", BootTime() - drain_started_at_)
-          .Add("callers", proxy_->callers())
-          .Add("requests", proxy_->requests())
-          .Add("connections", gateway_->callers());
-      gateway_->StopListening();
-      stopped_();
+    const core::TimePoint now = BootTime();
+    const bool drained = proxy_->drained();
+    if (!drained && now < end) {
+      loop_->At(std::chrono::steady_clock::now() + kDrainPoll,
+                [this, end] { AwaitDrained(end); });
+      return;
+    }
+    Event(events_.get(), EventPriority::kState, "drain_end")
+        .Add("reason", drained ? "drained" : "deadline")
+        .Add("after", now - drain_started_at_)
+        .Add("callers", proxy_->callers())
+        .Add("requests", proxy_->requests())
+        .Add("connections", gateway_->callers());
+    proxy_->EndSessions(now);
+    gateway_->Flush();
+    // At least one turn of the loop, in which answers to other instances leave.
+    loop_->At(
+        std::chrono::steady_clock::now() + kDrainPoll,
+        [this, until = now + kCallerCloseTimeout] { AwaitCallersGone(until); });
+  }
+
+  /// Waits until callers have closed the connections of their ended sessions.
+  void AwaitCallersGone(core::TimePoint until) {
+    if (gateway_->sessions() > 0 && BootTime() < until) {
+      loop_->At(std::chrono::steady_clock::now() + kDrainPoll,
+                [this, until] { AwaitCallersGone(until); });
       return;
     }
-    loop_->At(std::chrono::steady_clock::now() + kDrainPoll,
-              [this, end] { AwaitDrained(end); });
+    // The loop goes on until the task is stopped; nothing is read that could
+    // not be answered any more.
+    gateway_->StopListening();
+    gateway_->CloseCallers();
+    stopped_();
   }
 
   const settings::GatewaySettings settings_;
--- a/testsuite/platform_gateway/gateway_test.cc
+++ b/testsuite/platform_gateway/gateway_test.cc
@@ -349,6 +349,34 @@
   EXPECT_TRUE(RunUntil([&] { return idle->broken(); }, milliseconds(500)));
 }
 
+// Guards against dropping a statement that its caller sends as a drain ends the
+// session.
+TEST_F(GatewayTest, AnswersAStatementThatCrossesTheEndOfItsSession) {
+  const auto caller = ConnectCaller("records");
+  raise(SIGTERM);
+  ASSERT_TRUE(
+      RunUntil([&] { return !caller->lines().empty(); }, milliseconds(1500)));
+  EXPECT_EQ(caller->lines().front(),
+            "ERROR BUSY instance is leaving retry-after-ms=0");
+  caller->Send("QUERY q1 WRITE k1 v1\r\n");
+  ASSERT_TRUE(
+      RunUntil([&] { return caller->lines().size() > 1; }, milliseconds(200)));
+  EXPECT_EQ(caller->lines()[1], "READY I -");
+  EXPECT_EQ(databases_.cluster().TimesCommitted("q1"), 0U);
+  EXPECT_TRUE(RunUntil([&] { return caller->broken(); }, milliseconds(1000)));
+}
+
+// Guards against reading statements after the decision to stop.
+TEST_F(GatewayTest, ReadsNothingOnceItHasDecidedToStop) {
+  raise(SIGTERM);
+  const auto late = std::make_unique<TestCaller>(loop_.base(), session_port_);
+  ASSERT_TRUE(RunUntil([&] { return stopped_; }, milliseconds(2000)));
+  late->Send("START records u1\r\nQUERY q1 WRITE k1 v1\r\n");
+  RunFor(milliseconds(200));
+  EXPECT_TRUE(late->broken());
+  EXPECT_FALSE(databases_.HasReceived("q1"));
+}
+
 class SlowListingTest : public GatewayTest {
  protected:
   void BeforeStart() override {
--- a/testsuite/process_shutdown/planned_work.cc
+++ b/testsuite/process_shutdown/planned_work.cc
@@ -31,9 +31,11 @@
 /// Time for callers to finish what they have begun.
 constexpr milliseconds kFinishTime{1500};
 
+/// Returns the path of the daemon, which is built beside the folder of tests.
 std::string Program() {
-  const char* program = std::getenv("RYEFOLD_PROGRAM");
-  return program == nullptr ? "build/ryefoldd" : program;
+  const std::filesystem::path self =
+      std::filesystem::read_symlink("/proc/self/exe");
+  return self.parent_path().parent_path() / "ryefoldd";
 }
 
 std::string MakeConfig(uint64_t version, uint32_t max_connections) {
@@ -157,10 +159,6 @@
   }
 }
 
-bool PlannedWork::IsRunning(size_t instance) {
-  return instances_[instance]->IsRunning();
-}
-
 /// Kills what outlasts the grace, and restarts what has ended.
 void PlannedWork::WatchStops() {
   for (size_t i = 0; i < instances_.size(); ++i) {
@@ -269,8 +267,8 @@
     Send(number, write ? "WRITE " + item + " data" : "READ " + item, write);
     return;
   }
-  operation.open = false;
   Send(number, operation.roll_back ? "ROLLBACK" : "COMMIT", false);
+  operation.open = false;
 }
 
 void PlannedWork::Send(size_t number, const std::string& text, bool write) {
@@ -298,16 +296,14 @@
   const bool single = !statement->in_transaction && write;
   if (no_effect && single) must_not_commit_.insert(statement->id);
   if (reply.ok() && single) must_commit_.insert(statement->id);
-  if (no_effect && !single) {
+  if (no_effect && statement->in_transaction) {
     must_not_commit_.insert(operation.writes.begin(), operation.writes.end());
   }
   if (statement->text == "COMMIT" && reply.ok()) {
     must_commit_.insert(operation.writes.begin(), operation.writes.end());
   }
-  if (operation.open) {
-    if (reply.state == TransactionState::kIdle) operation.open = false;
-    if (!reply.ok()) operation.roll_back = true;
-  }
+  operation.open = reply.state != TransactionState::kIdle;
+  if (!reply.ok()) operation.roll_back = true;
   if (caller.outstanding > 0) return;
   const milliseconds pause =
       milliseconds(RandomBelow(caller.style.pause.count() + 1)) +
--- a/testsuite/process_shutdown/planned_work.h
+++ b/testsuite/process_shutdown/planned_work.h
@@ -69,7 +69,7 @@
   void ChangeConfiguration();
   /// Does one of the three to a random instance.
   void DoRandomWork();
-  bool IsRunning(size_t instance);
+  uint64_t RandomBelow(uint64_t bound) { return random_() % bound; }
   /// Waits until no instance is being stopped.
   void AwaitStops();
 
@@ -102,7 +102,6 @@
   void OnEnded(size_t caller);
   void WatchStops();
   void CheckStatement(const RecordedStatement& statement);
-  uint64_t RandomBelow(uint64_t bound) { return random_() % bound; }
   std::string NewId() {
     return "s" + std::to_string(options_.seed) + "-" +
            std::to_string(++last_id_);
--- a/testsuite/process_shutdown/shutdown_test.cc
+++ b/testsuite/process_shutdown/shutdown_test.cc
@@ -117,8 +117,8 @@
     work.AddCallers(4, {.pipelined = 4, .transactions = 10});
     work.AddCallers(
         4, {.pause = milliseconds(20), .on_notice = OnNotice::kIgnore});
-    for (int i = 0; i < 12; ++i) {
-      work.RunFor(milliseconds(100 + 150 * (seed * 7 + i * 5) % 700));
+    for (int i = 0; i < 16; ++i) {
+      work.RunFor(milliseconds(100 + work.RandomBelow(700)));
       work.DoRandomWork();
     }
     work.FinishAndCheck();
--- a/testsuite/session_directory/random_test.cc
+++ b/testsuite/session_directory/random_test.cc
@@ -77,8 +77,12 @@
     clock_.After(milliseconds(1 + RandomBelow(80)),
                  [this, id] { SendStatement(id); });
   }
-  void CloseCaller(CallerId id, ErrorCode /*error*/,
-                   const std::string& /*text*/) override {
+  void RefuseCaller(CallerId id, ErrorCode /*error*/,
+                    const std::string& /*text*/) override {
+    clock_.After(milliseconds(20), [this, id] { OpenSession(id); });
+  }
+  void EndSession(CallerId id, ErrorCode /*error*/,
+                  const std::string& /*text*/) override {
     clock_.After(milliseconds(20), [this, id] { OpenSession(id); });
   }
 
--- a/testsuite/session_proxy/proxy_test.cc
+++ b/testsuite/session_proxy/proxy_test.cc
@@ -466,6 +466,48 @@
   EXPECT_TRUE(hosts_[0]->proxy()->drained());
 }
 
+// Guards against sessions that never rest, which would keep a drain from
+// ending.
+TEST_F(ProxyTest, BeginsNoOperationWhileItDrains) {
+  CreateInstances(1);
+  StartSession(0, 1, "primary");
+  EXPECT_EQ(Write(0, 1), ErrorCode::kNone);
+  Send(0, 1, StatementKind::kWrite, "WRITE k v");
+  hosts_[0]->proxy()->Drain(clock_.now(), clock_.now() + milliseconds(3000),
+                            clock_.now() + milliseconds(5000));
+  while (replies_.count(1) == 0) RunFor(1);
+  EXPECT_EQ(replies_[1].error, ErrorCode::kNone);
+  EXPECT_EQ(Execute(0, 1, StatementKind::kBegin, "BEGIN"), ErrorCode::kBusy);
+  StartSession(0, 2, "primary");
+  EXPECT_FALSE(hosts_[0]->accepted(2));
+  RunFor(60);
+  EXPECT_TRUE(hosts_[0]->proxy()->drained());
+}
+
+// Guards against denying a commit that may have taken effect, at a drain's end.
+TEST_F(ProxyTest, AnswersWhatIsPendingAtTheEndOfADrain) {
+  CreateInstances(1);
+  for (CallerId caller = 1; caller <= 4; ++caller) {
+    StartSession(0, caller, "primary");
+  }
+  EXPECT_EQ(Execute(0, 1, StatementKind::kBegin, "BEGIN"), ErrorCode::kNone);
+  EXPECT_EQ(Write(0, 1), ErrorCode::kNone);
+  EXPECT_EQ(Execute(0, 2, StatementKind::kBegin, "BEGIN"), ErrorCode::kNone);
+  EXPECT_EQ(Write(0, 2), ErrorCode::kNone);
+  hosts_[0]->StallConnections();
+  Send(0, 1, StatementKind::kCommit, "COMMIT");
+  Send(0, 2, StatementKind::kWrite, "WRITE k v");
+  Send(0, 3, StatementKind::kWrite, "WRITE k v");
+  hosts_[0]->proxy()->Drain(clock_.now(), clock_.now() + milliseconds(100),
+                            clock_.now() + milliseconds(200));
+  RunFor(260);
+  ASSERT_EQ(replies_.count(1) + replies_.count(2) + replies_.count(3), 3U);
+  EXPECT_EQ(replies_[1].error, ErrorCode::kInDoubt);
+  EXPECT_EQ(replies_[2].error, ErrorCode::kTimeout);
+  EXPECT_NE(replies_[3].error, ErrorCode::kNone);
+  EXPECT_TRUE(hosts_[0]->proxy()->drained());
+}
+
 // A caller begins a transaction, writes, and sends nothing else. The database
 // connection, one of a few, must be released, and the caller must get ABORTED.
 TEST_F(ProxyTest, RollsBackIdleTransactions) {
--- a/testsuite/support/session/idle_port.h
+++ b/testsuite/support/session/idle_port.h
@@ -21,9 +21,12 @@
   void AcceptCaller(core::session::CallerId /*caller*/) override {}
   void ReplyToCaller(core::session::CallerId /*caller*/,
                      const core::session::Reply& /*reply*/) override {}
-  void CloseCaller(core::session::CallerId /*caller*/,
-                   core::session::ErrorCode /*error*/,
-                   const std::string& /*text*/) override {}
+  void RefuseCaller(core::session::CallerId /*caller*/,
+                    core::session::ErrorCode /*error*/,
+                    const std::string& /*text*/) override {}
+  void EndSession(core::session::CallerId /*caller*/,
+                  core::session::ErrorCode /*error*/,
+                  const std::string& /*text*/) override {}
   void OpenConnection(ConnectionId connection,
                       const core::session::Database& /*database*/,
                       const std::string& /*workspace*/) override {
--- a/testsuite/support/session/instance_host.h
+++ b/testsuite/support/session/instance_host.h
@@ -176,8 +176,12 @@
   void ReplyToCaller(CallerId caller, const Reply& reply) override {
     listener_->OnReply(caller, reply);
   }
-  void CloseCaller(CallerId caller, ErrorCode error,
-                   const std::string& /*text*/) override {
+  void RefuseCaller(CallerId caller, ErrorCode error,
+                    const std::string& /*text*/) override {
+    listener_->OnClosed(caller, error);
+  }
+  void EndSession(CallerId caller, ErrorCode error,
+                  const std::string& /*text*/) override {
     listener_->OnClosed(caller, error);
   }
 
