Sessions: a session whose key is removed answers the statement that crosses it

What callers would see: a key is taken away while its session is idle; a statement that is under way then gets no answer, since the connection is closed at once. One that finds its key gone as it begins got an ERROR without the READY that completes an answer.

An accepted session was closed like one that was never accepted. Found by looking for other places where a session goes away.

Evidence: the virtual-time port now fails when an accepted session is refused in place of being ended; four ARemovedKey... tests of session_workspaces were red with it, and are green. RevokeSessions uses EndSession, which answers what crosses it with the same error, and a statement without a valid key is answered before its session ends.

--- a/src/libcore/session/proxy_callers.cc
+++ b/src/libcore/session/proxy_callers.cc
@@ -259,9 +259,9 @@
     return;
   }
   if (!caller->adopted && !AdmitCaller(now, *request.route, caller)) {
-    const CallerId id = caller->id;
-    CallerDisconnected(now, id);
-    port_->RefuseCaller(id, ErrorCode::kUnknownKey, "key is not configured");
+    caller->revoked = true;
+    revoked_callers_.insert(caller->id);
+    AnswerRevoked(now, caller);
     return;
   }
   if (caller->group != request.route->group) {
--- a/src/libcore/session/proxy_identity.cc
+++ b/src/libcore/session/proxy_identity.cc
@@ -92,7 +92,7 @@
     CallerDisconnected(now, id);
     revoked_callers_.erase(id);
     if (adopted) continue;  // The reply to its next statement reports the end.
-    port_->RefuseCaller(id, ErrorCode::kUnknownKey, "key was taken away");
+    port_->EndSession(id, ErrorCode::kUnknownKey, "key was taken away");
   }
 }
 
--- a/testsuite/support/session/instance_host.h
+++ b/testsuite/support/session/instance_host.h
@@ -3,6 +3,8 @@
 // Runs one instance's session proxy in virtual time between test callers and a
 // fake database group.
 
+#include <gtest/gtest.h>
+
 #include <algorithm>
 #include <functional>
 #include <map>
@@ -178,10 +180,12 @@
   }
   void RefuseCaller(CallerId caller, ErrorCode error,
                     const std::string& /*text*/) override {
+    EXPECT_FALSE(accepted(caller)) << "an accepted session was cut off";
     listener_->OnClosed(caller, error);
   }
   void EndSession(CallerId caller, ErrorCode error,
                   const std::string& /*text*/) override {
+    EXPECT_TRUE(accepted(caller));
     listener_->OnClosed(caller, error);
   }
 
