--- a/testsuite/platform_gateway/gateway_test.cc
+++ b/testsuite/platform_gateway/gateway_test.cc
@@ -349,8 +349,7 @@
   EXPECT_TRUE(RunUntil([&] { return idle->broken(); }, milliseconds(500)));
 }
 
-// Guards against dropping a statement that its caller sends as a drain ends the
-// session.
+// Guards against dropping a statement that crosses the end of its session.
 TEST_F(GatewayTest, AnswersAStatementThatCrossesTheEndOfItsSession) {
   const auto caller = ConnectCaller("records");
   raise(SIGTERM);
