--- a/testsuite/process_shutdown/shutdown_test.cc
+++ b/testsuite/process_shutdown/shutdown_test.cc
@@ -98,8 +98,7 @@
   work.FinishAndCheck();
 }
 
-// Guards against the same under stops, SIGHUP and changes in overlapping
-// series.
+// Guards against cutting off statements when stops and changes overlap.
 TEST(Shutdown, AnswersEveryStatementDuringPlannedWork) {
   const uint64_t first = FromEnvironment("RYEFOLD_SEED", kFirstSeed);
   const uint64_t runs = FromEnvironment("RYEFOLD_RUNS", kRuns);
