--- a/testsuite/process_shutdown/planned_work.h
+++ b/testsuite/process_shutdown/planned_work.h
@@ -137,8 +137,8 @@
   uint64_t version_ = 1;
   uint64_t stops_made_ = 0;
   bool finishing_ = false;
-  /// When this process, its callers and its databases last ran, and the times
-  /// at which they ran again after a long pause.
+  /// When this process last ran, with its callers and databases, and when each
+  /// pause of more than 200 ms ended.
   RecordedStatement::Time last_ran_at_ = std::chrono::steady_clock::now();
   std::vector<RecordedStatement::Time> delays_ended_at_;
 };
