Sessions: a statement's outcome follows from the database's answer to it alone

Cause: a variable and the write behind it left in one batch. A refused variable marked the connection unusable, and the mark turned the write's success into "no such statement", which counts as not run, so the write was sent again.

Change: a statement is sent once the database has confirmed all variables of its session on the connection; what a connection holds is recorded by answers (ConnectionSession). RetryRequest takes the end of the attempt and asks MayRunAgain, the one place that decides. Marks of a connection decide only where later statements go; a connection that is still inside a transaction after a refused rollback is closed. An unsent statement is known not to have run when its connection is lost, its time is over or its key is revoked.

Begins, transactions' statements and prepared names wait for none.

--- a/src/include/ryefold/core/session/proxy.h
+++ b/src/include/ryefold/core/session/proxy.h
@@ -116,6 +116,10 @@
   uint64_t cut = 0;
   uint64_t replica_reads = 0;
   uint64_t primary_reads = 0;
+  /// Callers' statements sent to databases, and times that one first had to
+  /// wait until a database confirmed the variables of its session.
+  uint64_t statements_sent = 0;
+  uint64_t session_waits = 0;
   uint64_t connections_opened = 0;
   /// Idle connections closed to make room for another workspace.
   uint64_t connections_evicted = 0;
--- a/src/libcore/session/proxy_callers.cc
+++ b/src/libcore/session/proxy_callers.cc
@@ -360,6 +360,7 @@
       .Add("confirming", request->unconfirmed_reply.has_value()
                              ? now - request->committed_at
                              : now - now)
+      .Add("session_waits", request->session_waits)
       .Add("proving", request->unproved_reply.has_value()
                           ? now - request->proof_pending_since
                           : now - now)
--- a/src/libcore/session/proxy_forwarding.cc
+++ b/src/libcore/session/proxy_forwarding.cc
@@ -305,15 +305,16 @@
         .Add("sent", outcome == ForwardOutcome::kLost ? "yes" : "no");
   }
   const bool may_have_run = outcome == ForwardOutcome::kLost;
+  const AttemptEnd end =
+      may_have_run ? AttemptEnd::kUnanswered : AttemptEnd::kNotSent;
   if (request->requirement == Requirement::kTransaction) {
     caller->transaction.keeper.clear();
     caller->state = TransactionState::kFailed;
-    if (!may_have_run) caller->transaction.wrote = false;
-    OnAttemptLost(now, request, 0);
+    OnAttemptLost(now, request, 0, end);
   } else if (request->writes && !may_have_run) {
     Dispatch(now, request);
   } else {
-    OnAttemptLost(now, request, 0);
+    OnAttemptLost(now, request, 0, end);
   }
 }
 
--- a/src/libcore/session/proxy_identity.cc
+++ b/src/libcore/session/proxy_identity.cc
@@ -60,8 +60,7 @@
         .Add("request", request == nullptr ? "" : request->statement_id)
         .Add("config_version", route_table_.version);
     if (request == nullptr) continue;
-    const bool sent = !request->running_on.empty() ||
-                      !request->forwarded_to.empty() ||
+    const bool sent = IsSent(*request) ||
                       request->unconfirmed_reply.has_value() ||
                       request->unproved_reply.has_value();
     if (!sent) unsent.push_back(request->id);
--- a/src/libcore/session/proxy_impl.h
+++ b/src/libcore/session/proxy_impl.h
@@ -228,9 +228,16 @@
                                      const Watermarks::Mark& mark);
   void SendStatement(TimePoint now, Connection* connection, Request* request,
                      const std::optional<Watermarks::Mark>& mark);
-  void SyncSessionState(TimePoint now, Connection* connection,
-                        const Caller& caller, const Request& request,
-                        std::vector<BackendCall>* calls);
+  void StartAttempt(TimePoint now, const Connection& connection,
+                    Request* request);
+  void AwaitSession(TimePoint now, Connection* connection, Request* request,
+                    const std::optional<Watermarks::Mark>& mark,
+                    const std::vector<BackendCall>& calls);
+  void OnSessionConfirmed(TimePoint now, Connection* connection);
+  RequestId EndSessionWait(Connection* connection);
+  void AbandonUnsent(TimePoint now, Connection* connection, Request* request,
+                     const std::string& reason);
+  bool IsSent(const Request& request) const;
   BackendCall MakeStatementCall(const Request& request) const;
   bool SharesByWork() const {
     return settings_.queue_shares == admission::QueueShares::kWork;
@@ -267,8 +274,11 @@
   void RecordWork(TimePoint now, const PendingCall& call);
   void RecordError(TimePoint now, Connection* connection,
                    const PendingCall& call, ErrorCode error);
-  void RetryRequest(TimePoint now, Request* request);
-  void OnAttemptLost(TimePoint now, Request* request, ConnectionId connection);
+  void OnSessionReply(TimePoint now, Connection* connection,
+                      const Reply& reply);
+  void RetryRequest(TimePoint now, Request* request, AttemptEnd end);
+  void OnAttemptLost(TimePoint now, Request* request, ConnectionId connection,
+                     AttemptEnd end);
   void ReleaseIfIdle(TimePoint now, Connection* connection);
 
   // Commit confirmation (proxy_confirming.cc).
--- a/src/libcore/session/proxy_placing.cc
+++ b/src/libcore/session/proxy_placing.cc
@@ -38,12 +38,12 @@
 constexpr milliseconds kHedgeRetryInterval{25};
 /// Maximum number of hedged attempts of one read.
 constexpr uint32_t kMaxHedges = 3;
-/// Prepared statements on one connection before it is reset. Databases store
-/// them in memory per connection.
-constexpr size_t kMaxPreparedPerConnection = 100;
+/// Refused calls in a row after which a connection is not brought to a
+/// session's state any more. Databases may fail almost half of their calls for
+/// seconds.
+constexpr uint32_t kMaxSessionRefusals = 4;
 /// Workspace priorities within one route priority.
 constexpr uint32_t kWorkspacePriorities = 16;
-constexpr const char* kPreparedPrefix = "p";
 
 milliseconds HedgeDelay(const DatabaseState& database) {
   const auto usual_latency = std::chrono::duration_cast<milliseconds>(
@@ -52,22 +52,19 @@
                     kMaxHedgeDelay);
 }
 
-std::string PreparedName(const Prepared& prepared) {
-  std::string name = kPreparedPrefix;
-  name.append(std::to_string(prepared.number));
-  return name;
-}
-
 bool IsBegin(const Request& request) {
   return request.statement.kind == StatementKind::kBegin ||
          request.statement.kind == StatementKind::kBeginRead;
 }
 
-CallUse CallUseOf(const Request& request) {
+CallUse CallUseOf(const Request& request, ConnectionId connection) {
   if (request.requirement == Requirement::kTransaction) {
     return CallUse::kTransaction;
   }
-  return request.running_on.empty() ? CallUse::kStatement : CallUse::kHedge;
+  const bool elsewhere = std::any_of(
+      request.running_on.begin(), request.running_on.end(),
+      [connection](ConnectionId each) { return each != connection; });
+  return elsewhere ? CallUse::kHedge : CallUse::kStatement;
 }
 
 }  // namespace
@@ -393,47 +390,6 @@
   return false;
 }
 
-/// Adds the calls that set the session's variables and prepared statement on
-/// the connection before the statement. State of another session is discarded
-/// first.
-void Proxy::Impl::SyncSessionState(TimePoint now, Connection* connection,
-                                   const Caller& caller, const Request& request,
-                                   std::vector<BackendCall>* calls) {
-  const auto add = [&](CallKind kind, const std::string& name,
-                       const std::string& text, bool writes) {
-    BackendCall call;
-    call.kind = kind;
-    call.name = name;
-    call.text = text;
-    call.writes = writes;
-    calls->push_back(std::move(call));
-    connection->pending_calls.push_back({PendingCallKind::kSync, 0, now, {}});
-  };
-  const bool has_foreign_variable =
-      std::any_of(connection->variables.begin(), connection->variables.end(),
-                  [&caller](const auto& entry) {
-                    return caller.variables.count(entry.first) == 0;
-                  });
-  const bool full = connection->prepared.size() > kMaxPreparedPerConnection;
-  if (has_foreign_variable || (full && connection->pinned_caller == 0)) {
-    add(CallKind::kDiscard, "", "", false);
-    connection->variables.clear();
-    connection->prepared.clear();
-  }
-  for (const auto& [name, value] : caller.variables) {
-    const auto found = connection->variables.find(name);
-    if (found != connection->variables.end() && found->second == value) {
-      continue;
-    }
-    add(CallKind::kSet, name, value, false);
-    connection->variables[name] = value;
-  }
-  if (request.prepared == nullptr) return;
-  if (!connection->prepared.insert(request.prepared->number).second) return;
-  add(CallKind::kPrepare, PreparedName(*request.prepared),
-      request.prepared->shape, request.prepared->writes);
-}
-
 BackendCall Proxy::Impl::MakeStatementCall(const Request& request) const {
   BackendCall call;
   call.id = request.statement_id;
@@ -448,14 +404,120 @@
   return call;
 }
 
+/// Counts an attempt to run the request on the connection.
+void Proxy::Impl::StartAttempt(TimePoint now, const Connection& connection,
+                               Request* request) {
+  const auto& running_on = request->running_on;
+  const bool started =
+      std::count(running_on.begin(), running_on.end(), connection.id) > 0;
+  request->database = connection.database;
+  request->sent_at = now;
+  if (started) return;
+  ++request->attempts;
+  request->running_on.push_back(connection.id);
+  if (!request->writes && request->requirement != Requirement::kTransaction &&
+      request->hedges < kMaxHedges) {
+    const DatabaseState& database = *FindDatabase(connection.database);
+    SetTimer(request,
+             std::min(request->timeout_at, now + HedgeDelay(database)));
+  }
+}
+
+/// Sends the calls that set the session's variables; the statement follows once
+/// the database has confirmed them.
+void Proxy::Impl::AwaitSession(TimePoint now, Connection* connection,
+                               Request* request,
+                               const std::optional<Watermarks::Mark>& mark,
+                               const std::vector<BackendCall>& calls) {
+  ++counters_.session_waits;
+  ++request->session_waits;
+  connection->awaiting_session = request->id;
+  connection->awaiting_mark = mark;
+  ++FindDatabase(connection->database)->in_flight;
+  StartAttempt(now, *connection, request);
+  SendInternalCalls(
+      now, connection, calls,
+      std::vector<PendingCallKind>(calls.size(), PendingCallKind::kSession));
+}
+
+/// Ends the wait for a session's variables and returns the request that waited,
+/// 0 if there was none.
+RequestId Proxy::Impl::EndSessionWait(Connection* connection) {
+  const RequestId request = std::exchange(connection->awaiting_session, 0);
+  DatabaseState* database = FindDatabase(connection->database);
+  if (request != 0 && database->in_flight > 0) --database->in_flight;
+  return request;
+}
+
+/// Sends the statement that waited for its session's variables. If the database
+/// refused one of them, that one is repeated first.
+void Proxy::Impl::OnSessionConfirmed(TimePoint now, Connection* connection) {
+  Request* request = FindRequest(EndSessionWait(connection));
+  if (request == nullptr) return;
+  if (request->unproved_reply.has_value()) {
+    std::erase(request->running_on, connection->id);
+    return;  // Another attempt was answered first.
+  }
+  const Caller& caller = callers_.at(request->caller);
+  const bool refused = !connection->session.HasVariables(caller.variables) &&
+                       connection->session.refusals() >= kMaxSessionRefusals;
+  if (refused || connection->state == TransactionState::kFailed) {
+    AbandonUnsent(now, connection, request, "session_refused");
+    return;
+  }
+  SendStatement(now, connection, request, connection->awaiting_mark);
+}
+
+/// Gives up an attempt whose statement was not sent because the session's
+/// variables were not confirmed. `reason` is that of the refusal if the
+/// statement cannot run elsewhere.
+void Proxy::Impl::AbandonUnsent(TimePoint now, Connection* connection,
+                                Request* request, const std::string& reason) {
+  std::erase(request->running_on, connection->id);
+  if (request->requirement != Requirement::kTransaction) {
+    connection->unusable = true;
+    RetryRequest(now, request, AttemptEnd::kNotSent);
+    return;
+  }
+  Caller* caller = FindCaller(request->caller);
+  if (request->statement.kind == StatementKind::kCommit) {
+    EndTransaction(now, caller, /*roll_back=*/true);
+  } else {
+    FailTransaction(now, caller);
+  }
+  RefuseRequest(now, request, ErrorCode::kAborted, milliseconds(0), reason);
+}
+
+/// Whether a database or another instance was given the request's statement and
+/// has not answered it.
+bool Proxy::Impl::IsSent(const Request& request) const {
+  if (!request.forwarded_to.empty()) return true;
+  return std::any_of(request.running_on.begin(), request.running_on.end(),
+                     [this, &request](ConnectionId id) {
+                       const auto found = connections_.find(id);
+                       return found == connections_.end() ||
+                              found->second.awaiting_session != request.id;
+                     });
+}
+
 void Proxy::Impl::SendStatement(TimePoint now, Connection* connection,
                                 Request* request,
                                 const std::optional<Watermarks::Mark>& mark) {
   if (!CheckWorkspace(now, connection, request)) return;
   DatabaseState* database = FindDatabase(connection->database);
   const Caller& caller = callers_.at(request->caller);
-  std::vector<BackendCall> calls;
-  SyncSessionState(now, connection, caller, *request, &calls);
+  SessionCalls session = connection->session.Request(
+      caller.variables, request->prepared.get(),
+      /*in_transaction=*/connection->pinned_caller != 0);
+  if (session.confirm_first && !IsBegin(*request)) {
+    AwaitSession(now, connection, request, mark, session.calls);
+    return;
+  }
+  std::vector<BackendCall> calls = std::move(session.calls);
+  for (size_t i = 0; i < calls.size(); ++i) {
+    connection->pending_calls.push_back(
+        {PendingCallKind::kSession, 0, now, {}});
+  }
   milliseconds position_age{0};
   std::optional<LogPosition> since;
   if (mark.has_value()) {
@@ -465,7 +527,8 @@
   const auto expect = [&](PendingCallKind kind) {
     connection->pending_calls.push_back(
         {kind, request->id, now, position_age,
-         /*needs_proof=*/!since.has_value(), CallUseOf(*request),
+         /*needs_proof=*/!since.has_value(),
+         CallUseOf(*request, connection->id),
          database->in_flight < database->info.slots});
   };
   // A read must not be answered by a replaced primary, whose log misses newer
@@ -495,6 +558,7 @@
     calls.push_back(std::move(call));
     expect(PendingCallKind::kStatement);
     connection->pending_calls.back().route = request->route;
+    ++counters_.statements_sent;
     ++database->in_flight;
     ++connection->statements;
     if (database->concurrency != nullptr) database->concurrency->OnStart(now);
@@ -513,15 +577,7 @@
   }
   database->unanswered += static_cast<uint32_t>(calls.size());
   RecordCallSent(now, database);
-  ++request->attempts;
-  request->database = connection->database;
-  request->sent_at = now;
-  request->running_on.push_back(connection->id);
-  if (!request->writes && request->requirement != Requirement::kTransaction &&
-      request->hedges < kMaxHedges) {
-    SetTimer(request,
-             std::min(request->timeout_at, now + HedgeDelay(*database)));
-  }
+  StartAttempt(now, *connection, request);
   port_->SendCalls(connection->id, calls);
 }
 
@@ -557,6 +613,7 @@
 /// connection. If a begin is answered twice, the later one is rolled back.
 void Proxy::Impl::Hedge(TimePoint now, Request* request) {
   if (request->queued || request->running_on.empty()) return;
+  if (!MayRunAgain(request->writes, AttemptEnd::kUnanswered)) return;
   ++request->hedges;
   request->rejected_by.push_back(request->database);
   const std::string first = request->database;
--- a/src/libcore/session/proxy_pool.cc
+++ b/src/libcore/session/proxy_pool.cc
@@ -183,7 +183,7 @@
     Connection* connection = &connections_.at(each->connection);
     if (chosen == nullptr) chosen = connection;
     // Prefer a connection that already has the session's variables.
-    if (connection->variables != caller.variables) continue;
+    if (!connection->session.HasVariables(caller.variables)) continue;
     chosen = connection;
     break;
   }
@@ -278,6 +278,9 @@
       database->status_pending = false;
     }
   }
+  if (connection.awaiting_session != 0 && database->in_flight > 0) {
+    --database->in_flight;
+  }
   if (!connection.open) ++unanswered;
   database->unanswered -= std::min(unanswered, database->unanswered);
   if (database->unanswered == 0) database->unanswered_since = TimePoint();
--- a/src/libcore/session/proxy_proving.cc
+++ b/src/libcore/session/proxy_proving.cc
@@ -126,7 +126,7 @@
                   WithinPatience(now, *request, kProofRetryAfter), why);
     return;
   }
-  RetryRequest(now, request);
+  RetryRequest(now, request, AttemptEnd::kUnusable);
 }
 
 /// Whether a new read on the primary would wait for a proof that is already
--- a/src/libcore/session/proxy_replies.cc
+++ b/src/libcore/session/proxy_replies.cc
@@ -38,6 +38,7 @@
   connection->pending_calls.pop_front();
   if (database->unanswered > 0) --database->unanswered;
   RecordContact(now, database);
+  connection->state = reply.state;
   if (reply.position.has_value()) {
     database->applied_position =
         std::max(database->applied_position, *reply.position);
@@ -49,10 +50,8 @@
     if (!group->unconfirmed_commits.empty()) SettleCommits(now, group);
   }
   switch (call.kind) {
-    case PendingCallKind::kSync:
-      // The statement that follows would run with other values than its caller
-      // set. No such call is known to be refused, so the connection is closed.
-      if (!reply.ok()) connection->unusable = true;
+    case PendingCallKind::kSession:
+      OnSessionReply(now, connection, reply);
       break;
     case PendingCallKind::kProof:
       OnProofReply(now, connection, call, reply);
@@ -114,9 +113,10 @@
     return;
   }
   DatabaseState* database = FindDatabase(connection->database);
-  connection->proof_failed = false;
   Group* group = EnsureGroup(database->info.group);
-  if (connection->unusable) {
+  // A rollback that the database refused leaves its transaction open.
+  const bool in_transaction = connection->state != TransactionState::kIdle;
+  if (connection->unusable || in_transaction) {
     CloseConnection(now, connection);
   } else {
     if (connection->taken_at != TimePoint()) {
@@ -140,13 +140,35 @@
 void Proxy::Impl::OnProofReply(TimePoint now, Connection* connection,
                                const PendingCall& call, const Reply& reply) {
   Group* group = EnsureGroup(FindDatabase(connection->database)->info.group);
-  connection->proof_failed = !reply.ok();
+  bool failed = !reply.ok();
   if (reply.ok() && reply.position.has_value()) {
-    connection->proof_failed = !RecordClaim(now, group, connection->database,
-                                            call.sent_at, *reply.position);
+    failed = !RecordClaim(now, group, connection->database, call.sent_at,
+                          *reply.position);
   } else if (reply.error == ErrorCode::kReadOnly) {
     MarkDeposed(now, group, connection->database, "refused a call as replica");
   }
+  if (call.request == 0 || connection->pending_calls.empty()) return;
+  PendingCall& read = connection->pending_calls.front();
+  if (read.kind == PendingCallKind::kStatement &&
+      read.request == call.request) {
+    read.proof_failed = failed;
+  }
+}
+
+/// Records the database's answer to a call that sets the session's state.
+void Proxy::Impl::OnSessionReply(TimePoint now, Connection* connection,
+                                 const Reply& reply) {
+  connection->session.OnAnswer(reply.ok());
+  if (!reply.ok()) {
+    Event(events_, EventPriority::kState, "session_refused")
+        .Add("database", connection->database)
+        .Add("error", ErrorName(reply.error))
+        .Add("in_transaction", connection->pinned_caller)
+        .Add("refusals", connection->session.refusals());
+  }
+  if (connection->session.unanswered() == 0) {
+    OnSessionConfirmed(now, connection);
+  }
 }
 
 void Proxy::Impl::OnBeginReply(TimePoint now, Connection* connection,
@@ -167,7 +189,15 @@
   if (!reply.ok()) {
     RecordError(now, connection, call, reply.error);
     request->last_error = reply.error;
-    RetryRequest(now, request);
+    RetryRequest(now, request, AttemptEnd::kRejected);
+    return;
+  }
+  // The transaction's statements would run with other values than their caller
+  // set.
+  const Caller& owner = callers_.at(request->caller);
+  if (!connection->session.HasVariables(owner.variables)) {
+    roll_back();
+    RetryRequest(now, request, AttemptEnd::kUnusable);
     return;
   }
   const bool must_lead =
@@ -176,7 +206,7 @@
       !RecordClaim(now, group, connection->database, call.sent_at,
                    *reply.position)) {
     roll_back();
-    RetryRequest(now, request);
+    RetryRequest(now, request, AttemptEnd::kUnusable);
     return;
   }
   Caller* caller = FindCaller(request->caller);
@@ -207,7 +237,7 @@
     case ErrorCode::kNoStatement:
       // The database has lost its prepared statements, and so this connection's
       // record of them is wrong.
-      connection->unusable = true;
+      connection->session.ForgetPrepared();
       break;
     default:
       break;
@@ -263,21 +293,14 @@
   if (request->unproved_reply.has_value()) {
     return;  // Another attempt was answered first.
   }
-  if (connection->unusable) {
-    reply.error = ErrorCode::kNoStatement;
-    if (!request->writes) {
-      RetryRequest(now, request);
-      return;
-    }
-  }
-  if (connection->proof_failed) {
-    RetryRequest(now, request);
+  if (call.proof_failed) {
+    RetryRequest(now, request, AttemptEnd::kUnusable);
     return;
   }
   if (MeansNotRun(reply.error)) {
     RecordError(now, connection, call, reply.error);
     request->rejected_by.push_back(connection->database);
-    RetryRequest(now, request);
+    RetryRequest(now, request, AttemptEnd::kRejected);
     return;
   }
   if (reply.error == ErrorCode::kFailed && !request->writes &&
@@ -285,7 +308,7 @@
     // A read that failed once may succeed on another database.
     request->failed_once = true;
     request->rejected_by.push_back(connection->database);
-    RetryRequest(now, request);
+    RetryRequest(now, request, AttemptEnd::kUnusable);
     return;
   }
   Group* group = GroupOf(*request);
@@ -312,7 +335,16 @@
                                      Request* request, Reply reply) {
   Caller* caller = FindCaller(request->caller);
   const bool commit = request->statement.kind == StatementKind::kCommit;
-  if (reply.error == ErrorCode::kBusy &&
+  const bool unknown_name =
+      reply.error == ErrorCode::kNoStatement && request->prepared != nullptr;
+  if (unknown_name) connection->session.ForgetPrepared();
+  // The caller prepared the statement successfully, so it is not told of a name
+  // that the database does not know.
+  const bool unprepared =
+      request->prepared != nullptr &&
+      !connection->session.HasPrepared(*request->prepared) &&
+      (unknown_name || reply.error == ErrorCode::kMalformed);
+  if ((reply.error == ErrorCode::kBusy || unknown_name) &&
       reply.state == TransactionState::kOpen &&
       request->attempts < kMaxAttempts &&
       now + kBusyBackoff < request->timeout_at) {
@@ -339,6 +371,7 @@
     }
   } else if (!reply.ok() && reply.state != TransactionState::kOpen) {
     FailTransaction(now, caller);
+    if (unprepared) reply.error = ErrorCode::kAborted;
   } else if (reply.ok() && !request->writes &&
              caller->transaction.unproved_since != TimePoint()) {
     FinishOnceProved(now, request, caller->transaction.unproved_since,
@@ -348,10 +381,15 @@
   FinishRequest(now, request, std::move(reply));
 }
 
-/// Queues a statement again that did not run, or a read whose reply was lost.
+/// Queues a statement again that may run again after an attempt that ended so.
 /// If another attempt is in flight or a reply waits for its proof, that one
 /// finishes the request.
-void Proxy::Impl::RetryRequest(TimePoint now, Request* request) {
+void Proxy::Impl::RetryRequest(TimePoint now, Request* request,
+                               AttemptEnd end) {
+  if (!MayRunAgain(request->writes, end)) {
+    FinishInDoubt(now, request, std::string(AttemptEndName(end)));
+    return;
+  }
   if (!request->running_on.empty() || request->unproved_reply.has_value()) {
     return;
   }
@@ -373,6 +411,7 @@
     return;
   }
   const std::deque<PendingCall> lost_calls = connection->pending_calls;
+  const RequestId unsent = connection->awaiting_session;
   const CallerId pinned_caller = connection->pinned_caller;
   Event(events_, EventPriority::kState, "connection_lost")
       .Add("database", connection->database)
@@ -390,21 +429,28 @@
       continue;
     }
     Request* request = FindRequest(lost.request);
-    if (request != nullptr) OnAttemptLost(now, request, id);
+    if (request != nullptr) {
+      OnAttemptLost(now, request, id, AttemptEnd::kUnanswered);
+    }
+  }
+  Request* request = FindRequest(unsent);
+  if (request != nullptr) {
+    OnAttemptLost(now, request, id, AttemptEnd::kNotSent);
   }
 }
 
 /// Handles the loss of a connection with an unanswered statement. A commit or
-/// single write may have taken effect; anything else has not, will be rolled
-/// back by the database, or only reads.
+/// single write that was sent may have taken effect; anything else has not,
+/// will be rolled back by the database, or only reads.
 void Proxy::Impl::OnAttemptLost(TimePoint now, Request* request,
-                                ConnectionId connection) {
+                                ConnectionId connection, AttemptEnd end) {
   std::erase(request->running_on, connection);
   Caller* caller = FindCaller(request->caller);
   const bool commit = request->statement.kind == StatementKind::kCommit;
   Reply reply;
   if (request->requirement == Requirement::kTransaction) {
-    const bool in_doubt = commit && caller->transaction.wrote;
+    const bool in_doubt =
+        commit && !MayRunAgain(caller->transaction.wrote, end);
     if (commit) {
       caller->state = TransactionState::kIdle;
       caller->transaction = Transaction();
@@ -412,12 +458,12 @@
     reply.error = in_doubt ? ErrorCode::kInDoubt : ErrorCode::kAborted;
     reply.error_text = "connection lost";
     FinishRequest(now, request, std::move(reply));
-  } else if (request->writes) {
+  } else if (!MayRunAgain(request->writes, end)) {
     reply.error = ErrorCode::kInDoubt;
     reply.error_text = "connection lost";
     FinishRequest(now, request, std::move(reply));
   } else {
-    RetryRequest(now, request);
+    RetryRequest(now, request, end);
   }
 }
 
@@ -439,7 +485,14 @@
     OnProofFailed(now, request, "lead_in_doubt");
     return;
   }
-  if (request->running_on.empty() && request->forwarded_to.empty()) {
+  if (!IsSent(*request)) {
+    if (request->requirement == Requirement::kTransaction &&
+        !request->running_on.empty()) {
+      Connection* connection = FindConnection(request->running_on.front());
+      EndSessionWait(connection);
+      AbandonUnsent(now, connection, request, reason);
+      return;
+    }
     RefuseRequest(now, request, ErrorCode::kBusy,
                   WithinPatience(now, *request, kRetryAfter), reason);
     return;
--- a/src/libcore/session/state.h
+++ b/src/libcore/session/state.h
@@ -16,7 +16,9 @@
 #include "ryefold/core/admission/queue.h"
 #include "ryefold/core/admission/usual_demand.h"
 #include "ryefold/core/admission/work_estimator.h"
+#include "ryefold/core/session/attempt.h"
 #include "ryefold/core/session/call_statistics.h"
+#include "ryefold/core/session/connection_session.h"
 #include "ryefold/core/session/database_pool.h"
 #include "ryefold/core/session/forwarding.h"
 #include "ryefold/core/session/leadership_proof.h"
@@ -36,16 +38,6 @@
 /// A group without statements for this long is not probed.
 inline constexpr std::chrono::milliseconds kGroupIdleTimeout{2000};
 
-/// A prepared statement as sent to databases. Callers may use the same name for
-/// different statements, so each distinct statement gets a number, from which
-/// its name on connections is derived.
-struct Prepared {
-  uint64_t number = 0;
-  bool writes = false;
-  std::string shape;
-};
-using PreparedRef = std::shared_ptr<const Prepared>;
-
 struct Transaction {
   /// Route in force when the transaction began. A route change, which may
   /// select another group, applies from the next transaction on.
@@ -78,7 +70,7 @@
   uint64_t admission_version = 0;
   /// The caller's key was revoked: the session closes after the pending reply.
   bool revoked = false;
-  std::map<std::string, std::string> variables;
+  Variables variables;
   std::map<std::string, PreparedRef> prepared;
   TransactionState state = TransactionState::kIdle;
   Transaction transaction;
@@ -141,6 +133,8 @@
   bool awaits_keeper = false;
   /// Connections on which the request is in flight.
   std::vector<ConnectionId> running_on;
+  /// Times that its session's variables had to be confirmed first.
+  uint32_t session_waits = 0;
   /// Databases or instances that rejected the request and are not retried at
   /// once.
   std::vector<std::string> rejected_by;
@@ -169,7 +163,7 @@
 };
 
 enum class PendingCallKind : uint8_t {
-  kSync,       ///< Variable or prepared statement of the session.
+  kSession,    ///< Variable or prepared statement of the session.
   kProof,      ///< Begin that accompanies a proved read or probes leadership.
   kBegin,      ///< Begin of a caller's transaction.
   kStatement,  ///< A caller's statement.
@@ -179,7 +173,7 @@
 
 /// One unanswered call on a connection.
 struct PendingCall {
-  PendingCallKind kind = PendingCallKind::kSync;
+  PendingCallKind kind = PendingCallKind::kSession;
   RequestId request = 0;
   TimePoint sent_at;
   /// Age, when sent, of the log position that the call requires.
@@ -194,6 +188,9 @@
   /// kStatement only: the request's route. The request may have ended before
   /// the reply arrives.
   std::shared_ptr<const Route> route = nullptr;
+  /// kStatement only: the begin that accompanies this proved read was refused,
+  /// or accepted under an outdated term.
+  bool proof_failed = false;
 };
 
 struct Connection {
@@ -205,14 +202,16 @@
   bool open = false;
   TimePoint requested_at;
   TimePoint open_deadline;
-  std::map<std::string, std::string> variables;
-  std::set<uint64_t> prepared;
+  ConnectionSession session;
   std::deque<PendingCall> pending_calls;
+  /// Request whose statement is sent once its session's variables are
+  /// confirmed, 0 when there is none, and the position that it requires.
+  RequestId awaiting_session = 0;
+  std::optional<Watermarks::Mark> awaiting_mark;
   /// Caller whose transaction runs on this connection; 0 when there is none.
   CallerId pinned_caller = 0;
-  /// The begin that accompanies the next read was refused, or accepted under an
-  /// outdated term.
-  bool proof_failed = false;
+  /// As reported by the last reply.
+  TransactionState state = TransactionState::kIdle;
   /// The connection is closed once its last pending call is answered.
   bool unusable = false;
   /// Time at which it was last taken from the pool, and callers' statements
--- a/src/ryefoldd/gateway_metrics.cc
+++ b/src/ryefoldd/gateway_metrics.cc
@@ -139,6 +139,8 @@
   impl_->Figure("replica_reads", counters.replica_reads);
   impl_->Figure("primary_reads", counters.primary_reads);
   impl_->Figure("connections_opened", counters.connections_opened);
+  impl_->Figure("statements_sent", counters.statements_sent);
+  impl_->Figure("session_waits", counters.session_waits);
   impl_->Figure("connections_evicted", counters.connections_evicted);
   impl_->Figure("keeper_reports", counters.keeper_reports);
   impl_->Figure("keepers_passed_over", counters.keepers_passed_over);
--- a/testsuite/session_random/random_test.cc
+++ b/testsuite/session_random/random_test.cc
@@ -20,6 +20,7 @@
 /// Number of seeds in CI; `make soak` uses more and a random first seed.
 constexpr uint64_t kRuns = 10000;
 constexpr uint64_t kReplacementRuns = 1000;
+constexpr uint64_t kCalmRuns = 40;
 constexpr uint64_t kThreads = 4;
 constexpr uint64_t kFirstSeed = 20261202;
 
@@ -129,6 +130,7 @@
     database.lag = milliseconds(20);
     database.detached = false;
     database.lose_one_in = 0;
+    database.fail_one_in = 0;
     database.extra_latency = milliseconds(0);
   }
   callers->fleet().lose_one_in = 0;
@@ -137,14 +139,19 @@
 }
 
 TEST(SessionRandom, KeepsGuaranteesWithoutFaults) {
-  CheckedCallers callers(kFirstSeed, {kCalmCallers, 2, 21});
-  callers.Run(milliseconds(8000));
-  callers.StopNewWork();
-  callers.Run(milliseconds(3000));
-  callers.CheckFinalState();
-  EXPECT_GT(callers.tally().acknowledged_writes, 50U);
-  EXPECT_EQ(callers.tally().refused, 0U);
-  EXPECT_EQ(callers.tally().in_doubt, 0U);
+  uint32_t acknowledged = 0;
+  for (uint64_t seed = kFirstSeed; seed < kFirstSeed + kCalmRuns; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    CheckedCallers callers(seed, {kCalmCallers, 2, 21});
+    callers.Run(milliseconds(8000));
+    callers.StopNewWork();
+    callers.Run(milliseconds(3000));
+    callers.CheckFinalState();
+    EXPECT_EQ(callers.tally().refused, 0U);
+    EXPECT_EQ(callers.tally().in_doubt, 0U);
+    acknowledged += callers.tally().acknowledged_writes;
+  }
+  EXPECT_GT(acknowledged, 50U * kCalmRuns);
 }
 
 /// Odd seeds use five instances of which three hold database connections, so
@@ -220,6 +227,40 @@
   EXPECT_GT(sum.acknowledged_writes, 20 * runs);
 }
 
+/// Makes a database fail part of its calls, or injects another fault.
+void InjectFailingCalls(CheckedCallers* callers) {
+  if (callers->random()() % 3 == 0) {
+    InjectFault(callers);
+    return;
+  }
+  FakeCluster& cluster = callers->cluster();
+  const std::string id = callers->random()() % 2 == 0
+                             ? cluster.primary()
+                             : RandomDatabaseId(callers);
+  cluster.database(id).fail_one_in =
+      2 + static_cast<uint32_t>(callers->random()() % 6);
+}
+
+// A database fails part of its calls of every kind, also those that set the
+// state of a session: a statement must run with the values of its session and
+// at most once.
+TEST(SessionRandom, KeepsGuaranteesWhileDatabasesFailCalls) {
+  const uint64_t first = FromEnvironment("RYEFOLD_SEED", kFirstSeed);
+  const uint64_t runs = FromEnvironment("RYEFOLD_RUNS", kReplacementRuns);
+  CheckedCallers::Tally sum;
+  for (uint64_t seed = first; seed < first + runs; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    CheckedCallers callers(seed, FleetSizeForSeed(seed));
+    RunSteps(&callers, {8, 200, 900, InjectFailingCalls});
+    sum.done += callers.tally().done;
+    sum.refused += callers.tally().refused;
+    sum.acknowledged_writes += callers.tally().acknowledged_writes;
+    ASSERT_FALSE(HasFailure());
+  }
+  EXPECT_GT(sum.done, 4 * sum.refused);
+  EXPECT_GT(sum.acknowledged_writes, 10 * runs);
+}
+
 LogPosition LogEnd(const FakeDatabase& database) {
   return database.log.empty() ? LogPosition() : database.log.back().position;
 }
--- a/testsuite/support/session/fake_cluster.h
+++ b/testsuite/support/session/fake_cluster.h
@@ -381,7 +381,22 @@
     return reply;
   }
 
+  bool IsToFail(const FakeDatabase& database, CallKind kind) {
+    if (database.fail_kinds.count(kind) > 0) return true;
+    return database.fail_one_in > 0 && random_() % database.fail_one_in == 0;
+  }
+
   Reply ExecuteCall(Session* session, const BackendCall& call) {
+    FakeDatabase& database = databases_.at(session->database);
+    if (!IsToFail(database, call.kind)) return RunCall(session, call);
+    const bool session_state = call.kind == CallKind::kSet ||
+                               call.kind == CallKind::kPrepare ||
+                               call.kind == CallKind::kDiscard;
+    if (session_state && random_() % 2 == 0) RunCall(session, call);
+    return FailStatement(session, &database, ErrorCode::kFailed);
+  }
+
+  Reply RunCall(Session* session, const BackendCall& call) {
     FakeDatabase& database = databases_.at(session->database);
     if (call.since.has_value() && !HasApplied(database, *call.since)) {
       return FailStatement(session, &database, ErrorCode::kLagging);
--- a/testsuite/support/session/fake_database.h
+++ b/testsuite/support/session/fake_database.h
@@ -65,6 +65,11 @@
   milliseconds extra_latency{0};
   /// Loses about one in this many replies; 0 loses none.
   uint32_t lose_one_in = 0;
+  /// Fails about one in this many calls of any kind; 0 fails none. A failed
+  /// change of the session's state takes effect in half of the cases.
+  uint32_t fail_one_in = 0;
+  /// Fails all calls of these kinds.
+  std::set<core::session::CallKind> fail_kinds;
   uint32_t max_connections = 21;
   /// Statements that run at once; those beyond wait in the database.
   uint32_t slots = 3;
