Tests: commits whose answers are lost while instances stop

What was missing is a test that holds commits whose answers are lost during a stop.

That every write denied by a promise is not kept is checked against the log of the last primary now: the tests above may have the primary replaced. Without a promotion that is the same check.

--- a/testsuite/process_shutdown/planned_work.h
+++ b/testsuite/process_shutdown/planned_work.h
@@ -46,6 +46,10 @@
   std::chrono::seconds grace{2};
   /// One-way latency between callers and instances.
   std::chrono::milliseconds latency{0};
+  /// While an instance is being stopped, the primary loses about one in this
+  /// many replies to commits; 0 loses none. Its callers may then have it
+  /// replaced.
+  uint32_t lose_commits_one_in = 0;
 };
 
 class PlannedWork {
@@ -102,6 +106,7 @@
   void OnAnswer(size_t caller, const core::session::Reply& reply);
   void OnEnded(size_t caller);
   void WatchStops();
+  void LoseCommitsDuringStops();
   void AwaitAccepted(size_t instance);
   void RecordOwnDelay();
   bool WasDelayed(RecordedStatement::Time when) const;
--- a/testsuite/process_shutdown/shutdown_test.cc
+++ b/testsuite/process_shutdown/shutdown_test.cc
@@ -98,6 +98,32 @@
   work.FinishAndCheck();
 }
 
+// Guards against denying commits whose answers a stopping instance has not got.
+TEST(Shutdown, DeniesNoCommitWhoseAnswerIsLost) {
+  PlannedWork work({.seed = 8, .lose_commits_one_in = 2});
+  ASSERT_NO_FATAL_FAILURE(work.Start());
+  work.AddCallers(12, {.transactions = 100});
+  StopInARow(&work);
+}
+
+// The same for commits that another instance forwarded to a stopping keeper,
+// and beside reloads.
+TEST(Shutdown, DeniesNoForwardedCommitWhoseAnswerIsLost) {
+  PlannedWork work({.seed = 9,
+                    .instances = 6,
+                    .max_connections = 6,
+                    .lose_commits_one_in = 2});
+  ASSERT_NO_FATAL_FAILURE(work.Start());
+  work.AddCallers(24, {.transactions = 100});
+  work.RunFor(milliseconds(500));
+  for (size_t i = 0; i < 6; ++i) {
+    work.Terminate(i);
+    work.Reload((i + 1) % 6);
+    work.RunFor(milliseconds(900));
+  }
+  work.FinishAndCheck();
+}
+
 // Guards against cutting off statements when stops and changes overlap.
 TEST(Shutdown, AnswersEveryStatementDuringPlannedWork) {
   const uint64_t first = FromEnvironment("RYEFOLD_SEED", kFirstSeed);
--- a/testsuite/session_random/random_test.cc
+++ b/testsuite/session_random/random_test.cc
@@ -130,6 +130,7 @@
     database.lag = milliseconds(20);
     database.detached = false;
     database.lose_one_in = 0;
+    database.lose_commits_one_in = 0;
     database.fail_one_in = 0;
     database.extra_latency = milliseconds(0);
   }
@@ -261,6 +262,49 @@
   EXPECT_GT(sum.acknowledged_writes, 10 * runs);
 }
 
+/// Stops an instance while the primary loses replies, at times only those to
+/// commits, or injects another fault.
+void InjectStop(CheckedCallers* callers) {
+  if (callers->random()() % 4 == 0) {
+    InjectFault(callers);
+    return;
+  }
+  FakeDatabase& primary =
+      callers->cluster().database(callers->cluster().primary());
+  if (callers->random()() % 2 == 0) {
+    primary.lose_commits_one_in =
+        1 + static_cast<uint32_t>(callers->random()() % 4);
+  } else {
+    primary.lose_one_in = 5;
+  }
+  const milliseconds transactions_for(callers->random()() % 400);
+  const milliseconds more(callers->random()() % 700);
+  callers->StopHost(callers->random()() % callers->hosts(), transactions_for,
+                    transactions_for + more);
+}
+
+// Instances stop while the primary loses replies to commits, one after the
+// other or at once: a commit that may have taken effect must not be denied.
+TEST(SessionRandom, DeniesNoCommitWhileInstancesStop) {
+  const uint64_t first = FromEnvironment("RYEFOLD_SEED", kFirstSeed);
+  const uint64_t runs = FromEnvironment("RYEFOLD_RUNS", kReplacementRuns);
+  CheckedCallers::Tally sum;
+  uint64_t lost_commits = 0;
+  for (uint64_t seed = first; seed < first + runs; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    CheckedCallers callers(seed, FleetSizeForSeed(seed));
+    RunSteps(&callers, {8, 200, 900, InjectStop});
+    sum.done += callers.tally().done;
+    sum.in_doubt += callers.tally().in_doubt;
+    sum.acknowledged_writes += callers.tally().acknowledged_writes;
+    lost_commits += callers.cluster().lost_commits();
+    ASSERT_FALSE(HasFailure());
+  }
+  EXPECT_GT(lost_commits, runs);
+  EXPECT_GT(sum.in_doubt, runs);
+  EXPECT_GT(sum.acknowledged_writes, 10 * runs);
+}
+
 LogPosition LogEnd(const FakeDatabase& database) {
   return database.log.empty() ? LogPosition() : database.log.back().position;
 }
--- a/testsuite/support/event/recording_caller.h
+++ b/testsuite/support/event/recording_caller.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "platform/line_channel.h"
 #include "platform/line_codec.h"
@@ -38,7 +39,11 @@
   /// When the answer was complete or the connection ended.
   Time ended_at;
   bool answered = false;
+  /// Also set by an error after which the connection ended without the rest of
+  /// the answer.
   core::session::ErrorCode error = core::session::ErrorCode::kNone;
+  /// Ids of the writes that the statement commits.
+  std::vector<std::string> commits;
 };
 
 /// One session. Statements may be pipelined; they are answered in order.
@@ -130,6 +135,12 @@
       Close();
       return;
     }
+    constexpr std::string_view kError = "ERROR ";
+    if (!outstanding_.empty() && line.rfind(kError, 0) == 0) {
+      const std::string rest = line.substr(kError.size());
+      outstanding_.front()->error =
+          platform::DecodeErrorCode(rest.substr(0, rest.find(' ')));
+    }
     if (decoder_.Feed(line, false) !=
         platform::ReplyDecoder::Result::kComplete) {
       return;
--- a/testsuite/support/session/checked_callers.h
+++ b/testsuite/support/session/checked_callers.h
@@ -100,6 +100,14 @@
     pending_prepared_.erase(id);
     ++session_numbers_[id];
   }
+  /// The instance has ended the session with `error`.
+  void OnSessionEnded(CallerId id, ErrorCode error) {
+    const CallerState& state = callers_.at(id);
+    if (GuaranteesNoEffect(error)) {
+      must_not_commit_.insert(state.writes.begin(), state.writes.end());
+    }
+    OnSessionLost(id);
+  }
   uint64_t session_number(CallerId id) { return session_numbers_[id]; }
 
   void SendNext(CallerId id) {
@@ -446,6 +454,16 @@
       StartCaller(id);
     }
   }
+  /// Stops an instance as the platform does: it drains, then starts again.
+  void StopHost(size_t index, milliseconds transactions_for,
+                milliseconds ends_after) {
+    Proxy* proxy = hosts_.at(index)->proxy();
+    const TimePoint now = clock_.now();
+    proxy->Drain(now, now + transactions_for, now + ends_after);
+    clock_.After(ends_after + kRestartDelay, [this, index, proxy] {
+      if (hosts_.at(index)->proxy() == proxy) RestartHost(index);
+    });
+  }
   /// Sends the current roster to all instances, as the platform's list does.
   void PublishRoster() {
     for (const auto& host : hosts_) {
@@ -474,7 +492,12 @@
   void OnReply(CallerId caller, const Reply& reply) override {
     OnStatementReply(caller, reply);
   }
-  void OnClosed(CallerId /*caller*/, ErrorCode /*error*/) override {}
+  void OnClosed(CallerId caller, ErrorCode error) override {
+    OnSessionEnded(caller, error);
+  }
+
+  /// Time from the end of a drain to the start of the next process.
+  static constexpr milliseconds kRestartDelay{100};
 
   VirtualClock clock_;
   FakeCluster cluster_;
--- a/testsuite/support/session/fake_cluster.h
+++ b/testsuite/support/session/fake_cluster.h
@@ -118,6 +118,8 @@
     Disconnect(number);
     sessions_.at(number).counted_until = clock_->now() + kDeadPeerTimeout;
   }
+  /// Number of commits whose replies were lost.
+  uint64_t lost_commits() const { return lost_commits_; }
   /// Number of connections refused at the connection limit.
   uint64_t refused_at_limit() const { return refused_at_limit_; }
 
@@ -176,6 +178,14 @@
     }
     return positions;
   }
+  /// Returns the ids of the writes in the primary's log.
+  std::set<std::string> SurvivingWrites() const {
+    std::set<std::string> ids;
+    for (const LogEntry& entry : databases_.at(primary()).log) {
+      ids.insert(entry.writes.begin(), entry.writes.end());
+    }
+    return ids;
+  }
   uint32_t TimesCommitted(const std::string& statement_id) const {
     return commits_.count(statement_id) > 0 ? commits_.at(statement_id) : 0;
   }
@@ -346,6 +356,7 @@
 
   void FinishCall(uint64_t number, const Reply& reply) {
     Session& session = sessions_.at(number);
+    const bool commit = session.calls.front().first.text == "COMMIT";
     const ReplyCallback on_reply = std::move(session.calls.front().second);
     session.calls.pop_front();
     session.busy = false;
@@ -353,6 +364,11 @@
     if (database.lose_one_in > 0 && random_() % database.lose_one_in == 0) {
       session.stalled = true;
     }
+    if (commit && database.lose_commits_one_in > 0 &&
+        random_() % database.lose_commits_one_in == 0) {
+      ++lost_commits_;
+      session.stalled = true;
+    }
     if (!session.stalled) {
       clock_->After(milliseconds(1), [this, number, on_reply, reply] {
         if (!sessions_.at(number).closed && !sessions_.at(number).stalled) {
@@ -429,6 +445,9 @@
           database.paused_term = call.term;
         }
         return ReportStatus(session, &database);
+      case CallKind::kStepDown:
+        if (call.term > database.term) database.primary = false;
+        return ReportStatus(session, &database);
       case CallKind::kResumeReplication:
         database.paused_term = 0;
         return ReportStatus(session, &database);
@@ -521,6 +540,7 @@
     entry.position.index =
         database->log.empty() ? 1 : database->log.back().position.index + 1;
     entry.statement_id = writes.front();
+    entry.writes = writes;
     if (database->term < term_) stale_commits_.insert(entry.position);
     database->log.push_back(entry);
     database->received_at.push_back(clock_->now());
@@ -533,6 +553,7 @@
   std::map<uint64_t, Session> sessions_;
   uint64_t last_session_ = 0;
   uint64_t refused_at_limit_ = 0;
+  uint64_t lost_commits_ = 0;
   uint64_t last_transaction_ = 0;
   /// Term of the last promotion.
   uint64_t term_ = 1;
--- a/testsuite/support/session/fake_database.h
+++ b/testsuite/support/session/fake_database.h
@@ -24,6 +24,8 @@
 struct LogEntry {
   LogPosition position;
   std::string statement_id;
+  /// Ids of all writes of the commit.
+  std::vector<std::string> writes;
 };
 
 /// Record of one statement that a database executed.
@@ -65,6 +67,8 @@
   milliseconds extra_latency{0};
   /// Loses about one in this many replies; 0 loses none.
   uint32_t lose_one_in = 0;
+  /// Loses about one in this many replies to commits; 0 loses none.
+  uint32_t lose_commits_one_in = 0;
   /// Fails about one in this many calls of any kind; 0 fails none. A failed
   /// change of the session's state takes effect in half of the cases.
   uint32_t fail_one_in = 0;
