Sessions: a commit waits until no read can be proved under an older term

Cause: the reader sized its quorum by the databases that it knows, the writer let any replica that it knows confirm. With a successor that the reader has not heard of, and a replica that receives nothing as its only witness, the two sets do not meet. Two hypotheses; the other, an outdated answer, is ruled out by a test that has fresh answers and nothing but the unknown successor, and fails on the code before.

Change: a commit is acknowledged once every older primary is known to have stepped down, or no other database is left that could be its witness (IsExclusive, over all known databases and those that left lately). Older primaries get STEPDOWN when a new term is seen. The reader counts databases that left a moment ago, and needs all witnesses if the list has named another primary since. docs/design/leadership-proof.md has the argument, its assumptions and the cost.

Evidence: MembershipTest fails 2 of 3 before (the third is a control), passes now.

--- a/src/include/ryefold/core/session/leadership_proof.h
+++ b/src/include/ryefold/core/session/leadership_proof.h
@@ -21,7 +21,14 @@
 //   primary cut off from the others   its reads wait, then are rejected
 //   promotion not yet seen here       a witness reports the newer term
 //   database restarted without state  reports a lower term, so is no witness
+//
+// The instance that acknowledges a commit and the one that reads may know
+// different databases, as databases join and leave. `IsExclusive` is the other
+// half of the rule: a commit is acknowledged once no older primary is left, or
+// once no database but that primary itself could be its witness.
+// docs/design/leadership-proof.md has the argument.
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -38,6 +45,28 @@
 /// least one if the group has two or more databases.
 size_t WitnessesNeeded(size_t databases, size_t copies);
 
+/// What is known of a database of the group when a commit of another one is to
+/// be acknowledged.
+struct MemberEvidence {
+  /// Newest term that the database is known to have seen.
+  uint64_t term = 0;
+  /// It was a replica when asked after the commit's term had begun. It leads no
+  /// older term from then on, as each promotion begins a newer one.
+  bool replica = false;
+};
+
+/// Time for which a list of databases counts as current after it was last
+/// confirmed, and for which a database that has left it may still confirm
+/// commits at an instance with an older list.
+inline constexpr std::chrono::milliseconds kListCurrentFor{10000};
+
+/// Returns whether no read that starts from now on can be proved under a term
+/// before `term`. `others` are all known databases but the primary of `term`,
+/// also those that left the list recently. `list_current` tells whether the
+/// list was confirmed within `kListCurrentFor`.
+bool IsExclusive(uint64_t term, const std::vector<MemberEvidence>& others,
+                 bool list_current);
+
 /// Evidence about one group. All times are those at which requests were sent.
 class LeadershipProof {
  public:
--- a/src/include/ryefold/core/session/statement.h
+++ b/src/include/ryefold/core/session/statement.h
@@ -106,7 +106,7 @@
   TransactionState state = TransactionState::kIdle;
   /// Log position of the database, if reported.
   std::optional<LogPosition> position;
-  /// Result of a kStatus, kPauseReplication or kResumeReplication call.
+  /// Result of a call for which `ReturnsStatus` holds.
   std::optional<StatusReport> status;
   /// Load report of the keeper that ran or refused a forwarded statement, for
   /// the statement's group and queue key.
@@ -125,6 +125,7 @@
   kStatus,
   kPauseReplication,   ///< Stops a replica from receiving until a promotion.
   kResumeReplication,  ///< Ends a pause without a promotion.
+  kStepDown,           ///< Makes a primary of a lower term a replica.
   kVerbatim,           ///< A caller's statement, text unchanged.
   kExecute,  ///< A caller's kExecute under the name used on this connection.
 };
@@ -140,7 +141,8 @@
   /// Text (kVerbatim), value, template or arguments.
   std::string text;
   bool writes = false;
-  /// Term of a pause; has to be above every term that the replica knows.
+  /// Term of a pause, which has to be above every term that the replica knows,
+  /// or of a step-down.
   uint64_t term = 0;
 };
 
--- a/src/libcore/session/leadership_proof.cc
+++ b/src/libcore/session/leadership_proof.cc
@@ -19,6 +19,19 @@
   return std::max<size_t>(needed, 1);
 }
 
+bool IsExclusive(uint64_t term, const std::vector<MemberEvidence>& others,
+                 bool list_current) {
+  size_t possible_witnesses = 0;
+  size_t possible_primaries = 0;
+  for (const MemberEvidence& each : others) {
+    if (each.term >= term) continue;
+    ++possible_witnesses;
+    if (!each.replica) ++possible_primaries;
+  }
+  // A primary is no witness of its own.
+  return possible_primaries == 0 || (possible_witnesses <= 1 && list_current);
+}
+
 bool LeadershipProof::RecordClaim(const std::string& leader, uint64_t term,
                                   TimePoint sent, const LogPosition& position) {
   if (term < term_) return false;
--- a/src/libcore/session/proxy_confirming.cc
+++ b/src/libcore/session/proxy_confirming.cc
@@ -69,15 +69,23 @@
   return next == primary ? "" : next;
 }
 
-/// Returns whether a commit of `committed_by` outlives the loss of its primary.
-/// `replaced` tells whether that primary has been replaced since or is about to
-/// be.
+/// Returns whether a commit of `committed_by` may be acknowledged: it outlives
+/// the loss of its primary, and no read can be proved under an older term from
+/// now on. `replaced` tells whether that primary has been replaced since or is
+/// about to be.
 bool Proxy::Impl::IsConfirmed(TimePoint now, const Group& group,
                               const LogPosition& position,
                               const std::string& committed_by,
                               bool replaced) const {
-  if (group.limits.confirms_commits) return true;
   const std::vector<std::string> replicas = ReplicasOf(group, committed_by);
+  // Readers do not count a draining database once it has left the list.
+  const bool all_drain =
+      !replicas.empty() && databases_.at(replicas.front()).info.draining;
+  if (!IsExclusive(position.term, EvidenceOf(group, committed_by),
+                   IsListCurrent(now) && !all_drain)) {
+    return false;
+  }
+  if (group.limits.confirms_commits) return true;
   // No database can be promoted, so no commit can be discarded: the primary has
   // the only log and keeps it.
   if (replicas.empty()) return true;
@@ -180,6 +188,9 @@
   const bool confirming = !group->unconfirmed_commits.empty() ||
                           group->writes_held_position != LogPosition();
   if (!confirming && !NeedsProof(*group)) return;
+  if (confirming && !WillBeExclusive(now, *group)) {
+    DeposeOlderPrimaries(now, group);
+  }
   std::vector<std::string> replicas = ReplicasOf(*group, group->primary);
   const auto cost = [this, now](const std::string& id) {
     const DatabaseState& database = databases_.at(id);
@@ -291,6 +302,8 @@
           .Add("position", group->writes_held_position.index)
           .Add("term", group->writes_held_position.term)
           .Add("unconfirmed", group->unconfirmed_commits.size())
+          .Add("older_terms", DescribeOlderTerms(*group))
+          .Add("list_age", now - routes_confirmed_at_)
           .Add("waited", now - oldest->committed_at);
     }
   }
--- a/src/libcore/session/proxy_directory.cc
+++ b/src/libcore/session/proxy_directory.cc
@@ -153,6 +153,8 @@
   Group* group = EnsureGroup(info.group);
   if (info.claims_primary && database.claims_since == TimePoint()) {
     database.claims_since = now;
+    group->listed_primary = info.id;
+    group->listed_primary_since = now;
     if (known) group->deposed.erase(info.id);
   }
   database.info = info;
@@ -165,7 +167,10 @@
   }
   database.unlisted = false;
   unlisted_databases_.erase(info.id);
-  if (!known) group->databases.push_back(info.id);
+  if (!known) {
+    group->databases.push_back(info.id);
+    group->departed.erase(info.id);
+  }
   if (!known && group->is_keeper) OpenDatabaseConnection(now, &database, "");
   return group;
 }
@@ -178,6 +183,7 @@
       .Add("database", id)
       .Add("group", database->info.group);
   database->unlisted = true;
+  database->unlisted_at = now;
   unlisted_databases_.insert(id);
   database->removal_at = now + kUnlistedGracePeriod;
   return EnsureGroup(database->info.group);
--- a/src/libcore/session/proxy_impl.h
+++ b/src/libcore/session/proxy_impl.h
@@ -308,6 +308,17 @@
 
   // Proofs of leadership (proxy_proving.cc).
   size_t WitnessCount(const Group& group, size_t others) const;
+  static void SetTerm(TimePoint now, Group* group, uint64_t term);
+  static void RecordLeader(Group* group, uint64_t term,
+                           const std::string& database);
+  static bool MayLeadBetween(const Group& group, const std::string& database,
+                             uint64_t after, uint64_t before);
+  std::vector<MemberEvidence> EvidenceOf(const Group& group,
+                                         const std::string& primary) const;
+  std::string DescribeOlderTerms(const Group& group) const;
+  bool IsListCurrent(TimePoint now) const;
+  bool WillBeExclusive(TimePoint now, const Group& group) const;
+  void DeposeOlderPrimaries(TimePoint now, Group* group);
   TimePoint ProvedUntil(const Group& group) const;
   void RequestProof(TimePoint now, Group* group, TimePoint since);
   bool NeedsProof(const Group& group) const;
--- a/src/libcore/session/proxy_pool.cc
+++ b/src/libcore/session/proxy_pool.cc
@@ -52,6 +52,9 @@
 /// A draining primary is used until its successor leads, but no longer than
 /// this: it may stop seven seconds after the start of draining.
 constexpr milliseconds kDrainingPrimaryGrace{5000};
+/// Time for which a database may run on after it was removed from the list. One
+/// that is cut off from the platform's store is treated as gone then.
+constexpr milliseconds kDepartedPeriod{60000};
 /// Time without a response after which a database is suspected: a multiple of
 /// its usual latency, with this lower bound.
 constexpr milliseconds kMinSuspicionTime{250};
@@ -387,6 +390,11 @@
   for (const std::string& id : unlisted) {
     if (now >= databases_.at(id).removal_at) RemoveDatabase(now, id);
   }
+  for (const auto& [name, group] : active_groups_) {
+    std::erase_if(group->departed, [now](const auto& each) {
+      return now - each.second.removed_at >= kDepartedPeriod;
+    });
+  }
 }
 
 void Proxy::Impl::RemoveDatabase(TimePoint now, const std::string& id) {
@@ -395,7 +403,12 @@
   for (const auto& [connection, state] : connections_) {
     if (state.database == id) open.push_back(connection);
   }
-  Group* group = EnsureGroup(databases_.at(id).info.group);
+  const DatabaseState& database = databases_.at(id);
+  Group* group = EnsureGroup(database.info.group);
+  group->departed[id] = {
+      database.status, database.status_as_of, database.applied_position,
+      database.info.draining ? database.draining_since : database.unlisted_at,
+      now};
   if (group->primary == id) group->primary.clear();
   group->deposed.erase(id);
   std::erase(group->databases, id);
--- a/src/libcore/session/proxy_proving.cc
+++ b/src/libcore/session/proxy_proving.cc
@@ -21,13 +21,28 @@
 
 }  // namespace
 
-/// Returns how many of the `others` must act as witnesses for a proof.
+/// Returns how many of the `others` must act as witnesses for a proof. All of
+/// them if the list has named another primary since the term of the present one
+/// was first known: databases that hold its commits may have left the list.
 size_t Proxy::Impl::WitnessCount(const Group& group, size_t others) const {
+  if (group.listed_primary != group.proof.leader() &&
+      group.listed_primary_since > group.term_since) {
+    return others;
+  }
+  if (others == 0) return 0;
+  // An instance with an older list may let a database that has left it confirm
+  // commits. Once the list has been current for longer, it would also name the
+  // primary of these commits.
+  const auto departed = static_cast<size_t>(std::count_if(
+      group.departed.begin(), group.departed.end(), [this](const auto& each) {
+        return routes_confirmed_at_ <
+               each.second.leaving_since + kListCurrentFor;
+      }));
   // Databases that confirm commits themselves acknowledge none without a second
   // copy.
   const size_t min_copies = group.limits.confirms_commits ? 2 : 1;
   return WitnessesNeeded(
-      others + 1,
+      others + departed + 1,
       std::max(settings_.confirmation->required_copies(), min_copies));
 }
 
--- a/src/libcore/session/state.h
+++ b/src/libcore/session/state.h
@@ -224,6 +224,7 @@
   Database info;
   /// Missing from the platform's list; removed at `removal_at`.
   bool unlisted = false;
+  TimePoint unlisted_at;
   TimePoint removal_at;
   TimePoint draining_since;
   DatabasePool pool;
@@ -265,6 +266,8 @@
   /// Replies to requests sent earlier are from a process that has ended.
   TimePoint status_valid_after;
   bool status_pending = false;
+  /// No further order to step down before this time.
+  TimePoint step_down_not_before;
   /// A status request could not be sent because no connection was idle.
   bool status_deferred = false;
   /// Pause or resume of replication that waits for an idle connection, and the
@@ -273,6 +276,18 @@
   TimePoint replication_call_deadline;
 };
 
+/// What was known of a database that was removed from the list. It may run on,
+/// cut off from the platform's store.
+struct DepartedDatabase {
+  StatusReport status;
+  TimePoint status_as_of;
+  LogPosition applied;
+  /// Since when other instances could know that it does not confirm commits: it
+  /// drained, or was not listed any more.
+  TimePoint leaving_since;
+  TimePoint removed_at;
+};
+
 /// State of another instance as observed by this one.
 struct InstanceState {
   /// Statements forwarded to it and not answered.
@@ -308,6 +323,16 @@
   /// Presumed primary; empty when unknown.
   std::string primary;
   uint64_t term = 0;
+  /// Time at which `term` was first known.
+  TimePoint term_since;
+  /// Databases known to have led each of the last terms.
+  std::map<uint64_t, std::string> leaders;
+  /// Databases that were removed from the list, for as long as they may run on.
+  std::map<std::string, DepartedDatabase> departed;
+  /// Database that the list named as primary last, also if it is gone, and the
+  /// time.
+  std::string listed_primary;
+  TimePoint listed_primary_since;
   /// Time at which the newest call that the primary accepted was sent.
   TimePoint last_claim_at;
   /// Databases that refused to act as primary, until they claim it again.
--- a/src/libcore/session/statement.cc
+++ b/src/libcore/session/statement.cc
@@ -4,7 +4,7 @@
 
 bool ReturnsStatus(CallKind kind) {
   return kind == CallKind::kStatus || kind == CallKind::kPauseReplication ||
-         kind == CallKind::kResumeReplication;
+         kind == CallKind::kResumeReplication || kind == CallKind::kStepDown;
 }
 
 bool MeansNotRun(ErrorCode code) {
--- a/testsuite/platform_lines/lines_test.cc
+++ b/testsuite/platform_lines/lines_test.cc
@@ -118,6 +118,10 @@
   call.kind = CallKind::kResumeReplication;
   EncodeCall(call, &out);
   EXPECT_EQ(out, "QUERY - PAUSE 4\r\nQUERY - RESUME\r\n");
+  out.clear();
+  call.kind = CallKind::kStepDown;
+  EncodeCall(call, &out);
+  EXPECT_EQ(out, "QUERY - STEPDOWN 4\r\n");
 }
 
 TEST(Replies, AreAssembledFromLines) {
--- a/testsuite/standins/lib/line_databases.cc
+++ b/testsuite/standins/lib/line_databases.cc
@@ -53,6 +53,9 @@
     call.term = std::strtoull(rest.c_str(), nullptr, 10);
   } else if (word == "RESUME") {
     call.kind = CallKind::kResumeReplication;
+  } else if (word == "STEPDOWN") {
+    call.kind = CallKind::kStepDown;
+    call.term = std::strtoull(rest.c_str(), nullptr, 10);
   } else if (word == "SET" || word == "PARSE") {
     call.kind = word == "SET" ? CallKind::kSet : CallKind::kPrepare;
     call.name = TakeWord(&rest);
--- a/testsuite/support/session/fake_cluster.h
+++ b/testsuite/support/session/fake_cluster.h
@@ -48,6 +48,21 @@
   }
 
   FakeDatabase& database(const std::string& id) { return databases_.at(id); }
+  std::vector<std::string> ids() const {
+    std::vector<std::string> ids;
+    for (const auto& [id, database] : databases_) ids.push_back(id);
+    return ids;
+  }
+  /// Adds a replica that holds the primary's log.
+  void AddReplica(const std::string& id) {
+    FakeDatabase database = databases_.at(primary());
+    database.id = id;
+    database.failure_domain = id.substr(3);
+    database.primary = false;
+    database.running = 0;
+    database.queue.clear();
+    databases_[id] = std::move(database);
+  }
   uint64_t term() const { return term_; }
   const std::vector<ExecutedStatement>& executed_statements() const {
     return executed_statements_;
--- a/testsuite/support/session/instance_host.h
+++ b/testsuite/support/session/instance_host.h
@@ -55,7 +55,7 @@
 
 inline Roster TestRoster(FakeCluster& cluster) {
   Roster roster;
-  for (const char* id : {"db-a", "db-b", "db-c"}) {
+  for (const std::string& id : cluster.ids()) {
     Database database;
     database.id = id;
     database.group = "group";
@@ -267,6 +267,8 @@
       cluster_->Stall(session);
     }
   }
+  /// Cuts the instance off from the store: its list is not confirmed any more.
+  void SetListStale(bool stale) { list_stale_ = stale; }
   /// Delays all calls to databases, as a slow link does.
   void SetDatabaseDelay(milliseconds delay) { database_delay_ = delay; }
   uint32_t opened_connections() const { return opened_connections_; }
@@ -427,6 +429,9 @@
   }
 
   void Tick() {
+    if (clock_->now() >= store_readable_at_ && !list_stale_) {
+      proxy_->RoutesConfirmed(clock_->now());
+    }
     proxy_->Tick(clock_->now());
     clock_->After(milliseconds(5), [this] { Tick(); });
   }
@@ -441,6 +446,7 @@
   uint64_t boot_ = 0;
   /// Time at which the store becomes readable.
   TimePoint store_readable_at_;
+  bool list_stale_ = false;
   core::session::AdoptedSessions adopted_;
   std::map<CallerId, std::function<void(Reply)>> pending_answers_;
   std::map<core::session::ForwardId, uint64_t> pending_streams_;
