Sessions: a begin is no evidence of who led a term

The log position in the answer to a begin may show the term before, so the database that accepted it was recorded as that term's leader, and the one that did lead it passed for a replica (EvidenceOf). Leaders are recorded from statuses and from the positions of commits, as the model of session_leadership does.

--- a/src/include/ryefold/core/session/leadership_proof.h
+++ b/src/include/ryefold/core/session/leadership_proof.h
@@ -50,8 +50,8 @@
 struct MemberEvidence {
   /// Newest term that the database is known to have seen.
   uint64_t term = 0;
-  /// It was a replica when asked after the commit's term had begun. It leads no
-  /// older term from then on, as each promotion begins a newer one.
+  /// It was a replica when asked, and leads no term before that of the commit:
+  /// it was asked after that term had begun, or others led the terms between.
   bool replica = false;
 };
 
--- a/src/libcore/session/proxy_confirming.cc
+++ b/src/libcore/session/proxy_confirming.cc
@@ -107,6 +107,9 @@
 /// Handles a commit that the primary has acknowledged.
 void Proxy::Impl::ConfirmCommit(TimePoint now, Request* request, Reply reply) {
   Group* group = GroupOf(*request);
+  if (group != nullptr && reply.position.has_value()) {
+    RecordLeader(group, reply.position->term, request->database);
+  }
   if (group == nullptr || !reply.position.has_value() ||
       IsConfirmed(
           now, *group, *reply.position, request->database,
--- a/src/libcore/session/proxy_leadership.cc
+++ b/src/libcore/session/proxy_leadership.cc
@@ -67,7 +67,6 @@
   }
   const bool newer = term > group->term;
   SetTerm(now, group, term);
-  RecordLeader(group, term, database);
   if (newer) {
     SettleCommits(now, group);
     DeposeOlderPrimaries(now, group);
@@ -89,6 +88,8 @@
   group->term = term;
 }
 
+/// Records the leader of a term that a status or the position of a commit
+/// shows; a begin may show the term before.
 void Proxy::Impl::RecordLeader(Group* group, uint64_t term,
                                const std::string& database) {
   group->leaders[term] = database;
