Sessions: an order to step down does not displace a pause or resume

A call to a replica that waits for a connection is kept in one place for each database, and a later one replaced it.

--- a/src/libcore/session/proxy_leadership.cc
+++ b/src/libcore/session/proxy_leadership.cc
@@ -199,6 +199,8 @@
       if (!settled) RequestStatus(now, database, /*beyond_limit=*/false);
       continue;
     }
+    // A pause or resume that waits for a connection goes first.
+    if (database->replication_call.has_value()) continue;
     if (now < database->step_down_not_before) continue;
     database->step_down_not_before = now + kStepDownInterval;
     Event(events_, EventPriority::kState, "step_down_ordered")
