--- a/testsuite/session_proxy/session_state_test.cc
+++ b/testsuite/session_proxy/session_state_test.cc
@@ -51,7 +51,7 @@
   uint32_t TimesCommittedLast() {
     return cluster_.TimesCommitted("s" + std::to_string(last_statement_id_));
   }
-  void Fail(std::set<CallKind> kinds) {
+  void Fail(const std::set<CallKind>& kinds) {
     for (const char* id : {"db-a", "db-b", "db-c"}) {
       cluster_.database(id).fail_kinds = kinds;
     }
