Sessions: without a primary nothing is contested

An instance that has just started knows no primary, and took the list's for another one: it then wanted all databases as witnesses, and asked all of them. After a loss of power restarted instances lack the connections for that.

--- a/src/libcore/session/proxy_proving.cc
+++ b/src/libcore/session/proxy_proving.cc
@@ -25,7 +25,8 @@
 /// them if the list has named another primary since the term of the present one
 /// was first known: databases that hold its commits may have left the list.
 size_t Proxy::Impl::WitnessCount(const Group& group, size_t others) const {
-  if (group.listed_primary != group.proof.leader() &&
+  const std::string& leader = group.proof.leader();
+  if (!leader.empty() && group.listed_primary != leader &&
       group.listed_primary_since > group.term_since) {
     return others;
   }
