--- a/testsuite/session_proxy/membership_test.cc
+++ b/testsuite/session_proxy/membership_test.cc
@@ -77,6 +77,64 @@
   EXPECT_EQ(Write(0, 1), ErrorCode::kNone);
 }
 
+// The successor's answer to a begin shows the log of the term before: it must
+// not pass for that term's leader, or the one that did lead it, which is out of
+// reach, would pass for a replica.
+TEST_F(MembershipTest, ABeginDoesNotShowWhoLedTheTermBefore) {
+  CreateInstances(1);
+  StartSession(0, 1, "primary");
+  cluster_.AddReplica("db-d");
+  hosts_[0]->proxy()->OnRoster(clock_.now(), TestRoster(cluster_));
+  EXPECT_EQ(Write(0, 1), ErrorCode::kNone);
+  hosts_[0]->proxy()->ProbeGroup(clock_.now(), "group");
+  RunFor(200);
+  cluster_.KeepReplacedActive();
+  hosts_[0]->PartitionFrom("db-b");
+  cluster_.Promote("db-b");
+  hosts_[0]->proxy()->OnRoster(clock_.now(), TestRoster(cluster_));
+  RunFor(2000);
+  hosts_[0]->proxy()->ProbeGroup(clock_.now(), "group");
+  RunFor(200);
+  cluster_.Partition("db-b", "db-d");
+  cluster_.database("db-c").detached = true;
+  cluster_.Promote("db-d");
+  hosts_[0]->proxy()->OnRoster(clock_.now(), TestRoster(cluster_));
+  EXPECT_EQ(Execute(0, 1, StatementKind::kBegin, "BEGIN"), ErrorCode::kNone);
+  EXPECT_EQ(Execute(0, 1, StatementKind::kRollback, "ROLLBACK"),
+            ErrorCode::kNone);
+  EXPECT_TRUE(cluster_.database("db-b").primary);
+  EXPECT_NE(Write(0, 1), ErrorCode::kNone);
+  hosts_[0]->Reconnect();
+  hosts_[0]->BreakConnections();
+  RunFor(1500);
+  EXPECT_EQ(Write(0, 1), ErrorCode::kNone);
+}
+
+// An order to step down finds a pause that waits for a connection of the same
+// database: the pause must still be sent, or a promotion could lose commits.
+TEST_F(MembershipTest, AnOrderToStepDownDoesNotDisplaceAPause) {
+  constexpr uint64_t kPauseTerm = 5;
+  CreateInstances(1);
+  StartSession(0, 1, "primary");
+  EXPECT_EQ(Write(0, 1), ErrorCode::kNone);
+  hosts_[0]->proxy()->ProbeGroup(clock_.now(), "group");
+  RunFor(100);
+  cluster_.Promote("db-b");
+  // All connections to the old primary are busy until the new one has committed.
+  FakeDatabase& old = cluster_.database("db-a");
+  old.min_work = old.max_work = milliseconds(70);
+  old.max_connections = cluster_.connections("db-a");
+  cluster_.database("db-b").max_work = cluster_.database("db-b").min_work;
+  for (uint32_t i = 0; i < old.max_connections; ++i) {
+    hosts_[0]->proxy()->ProbeGroup(clock_.now(), "group");
+  }
+  hosts_[0]->proxy()->PauseReplication(clock_.now(), "db-a", kPauseTerm);
+  hosts_[0]->proxy()->OnRoster(clock_.now(), TestRoster(cluster_));
+  EXPECT_EQ(Write(0, 1), ErrorCode::kNone);
+  RunFor(400);
+  EXPECT_EQ(cluster_.database("db-a").paused_term, kPauseTerm);
+}
+
 // Three databases of which one is lost: no commit waits for more than one
 // replica, and no order to step down is needed.
 TEST_F(MembershipTest, CommitsGoOnAtOnceAfterTheLossOfAPrimary) {
