Sessions: the terms of databases in a file of their own

Names: ExcludesOlderTerms, SettleOlderTerms, IssueCalls. Giving up an unsent statement is a function of its own. No change of behaviour.

--- a/src/include/ryefold/core/session/connection_session.h
+++ b/src/include/ryefold/core/session/connection_session.h
@@ -51,8 +51,8 @@
   /// Returns the calls that are missing for a statement of a session with
   /// `variables`, which executes `prepared` unless that is null, and expects
   /// their answers. All earlier calls must have been answered.
-  SessionCalls Request(const Variables& variables, const Prepared* prepared,
-                       bool in_transaction);
+  SessionCalls IssueCalls(const Variables& variables, const Prepared* prepared,
+                          bool in_transaction);
 
   /// Records the answer to the oldest unanswered call. A refused call may have
   /// taken effect.
--- a/src/include/ryefold/core/session/leadership_proof.h
+++ b/src/include/ryefold/core/session/leadership_proof.h
@@ -23,9 +23,9 @@
 //   database restarted without state  reports a lower term, so is no witness
 //
 // The instance that acknowledges a commit and the one that reads may know
-// different databases, as databases join and leave. `IsExclusive` is the other
-// half of the rule: a commit is acknowledged once no older primary is left, or
-// once no database but that primary itself could be its witness.
+// different databases, as databases join and leave. `ExcludesOlderTerms` is the
+// other half of the rule: a commit is acknowledged once no older primary is
+// left, or once no database but that primary itself could be its witness.
 // docs/design/leadership-proof.md has the argument.
 
 #include <chrono>
@@ -64,8 +64,9 @@
 /// before `term`. `others` are all known databases but the primary of `term`,
 /// also those that left the list recently. `list_current` tells whether the
 /// list was confirmed within `kListCurrentFor`.
-bool IsExclusive(uint64_t term, const std::vector<MemberEvidence>& others,
-                 bool list_current);
+bool ExcludesOlderTerms(uint64_t term,
+                        const std::vector<MemberEvidence>& others,
+                        bool list_current);
 
 /// Evidence about one group. All times are those at which requests were sent.
 class LeadershipProof {
--- a/src/libcore/session/connection_session.cc
+++ b/src/libcore/session/connection_session.cc
@@ -19,9 +19,9 @@
   return name;
 }
 
-SessionCalls ConnectionSession::Request(const Variables& variables,
-                                        const Prepared* prepared,
-                                        bool in_transaction) {
+SessionCalls ConnectionSession::IssueCalls(const Variables& variables,
+                                           const Prepared* prepared,
+                                           bool in_transaction) {
   SessionCalls result;
   const auto add = [this, &result](const Call& call, BackendCall sent) {
     sent.kind = call.kind;
--- a/src/libcore/session/leadership_proof.cc
+++ b/src/libcore/session/leadership_proof.cc
@@ -19,8 +19,9 @@
   return std::max<size_t>(needed, 1);
 }
 
-bool IsExclusive(uint64_t term, const std::vector<MemberEvidence>& others,
-                 bool list_current) {
+bool ExcludesOlderTerms(uint64_t term,
+                        const std::vector<MemberEvidence>& others,
+                        bool list_current) {
   size_t possible_witnesses = 0;
   size_t possible_primaries = 0;
   for (const MemberEvidence& each : others) {
--- a/src/libcore/session/proxy_confirming.cc
+++ b/src/libcore/session/proxy_confirming.cc
@@ -81,8 +81,8 @@
   // Readers do not count a draining database once it has left the list.
   const bool all_drain =
       !replicas.empty() && databases_.at(replicas.front()).info.draining;
-  if (!IsExclusive(position.term, EvidenceOf(group, committed_by),
-                   IsListCurrent(now) && !all_drain)) {
+  if (!ExcludesOlderTerms(position.term, EvidenceOfOthers(group, committed_by),
+                          IsListCurrent(now) && !all_drain)) {
     return false;
   }
   if (group.limits.confirms_commits) return true;
@@ -191,8 +191,8 @@
   const bool confirming = !group->unconfirmed_commits.empty() ||
                           group->writes_held_position != LogPosition();
   if (!confirming && !NeedsProof(*group)) return;
-  if (confirming && !WillBeExclusive(now, *group)) {
-    DeposeOlderPrimaries(now, group);
+  if (confirming && !WillExcludeOlderTerms(now, *group)) {
+    SettleOlderTerms(now, group);
   }
   std::vector<std::string> replicas = ReplicasOf(*group, group->primary);
   const auto cost = [this, now](const std::string& id) {
--- a/src/libcore/session/proxy_impl.h
+++ b/src/libcore/session/proxy_impl.h
@@ -279,6 +279,7 @@
   void RetryRequest(TimePoint now, Request* request, AttemptEnd end);
   void OnAttemptLost(TimePoint now, Request* request, ConnectionId connection,
                      AttemptEnd end);
+  void GiveUpUnsent(TimePoint now, Request* request, const std::string& reason);
   void ReleaseIfIdle(TimePoint now, Connection* connection);
 
   // Commit confirmation (proxy_confirming.cc).
@@ -306,19 +307,27 @@
   bool AreWritesHeld(const Request& request);
   void RefuseHeldWrite(TimePoint now, Request* request, ErrorCode error);
 
-  // Proofs of leadership (proxy_proving.cc).
-  size_t WitnessCount(const Group& group, size_t others) const;
+  // Terms of databases (proxy_terms.cc).
   static void SetTerm(TimePoint now, Group* group, uint64_t term);
   static void RecordLeader(Group* group, uint64_t term,
                            const std::string& database);
   static bool MayLeadBetween(const Group& group, const std::string& database,
                              uint64_t after, uint64_t before);
-  std::vector<MemberEvidence> EvidenceOf(const Group& group,
-                                         const std::string& primary) const;
+  static KnownTerms TermsOf(const DatabaseState& database);
+  static MemberEvidence EvidenceOf(const Group& group,
+                                   const std::string& database,
+                                   const KnownTerms& known);
+  std::vector<MemberEvidence> EvidenceOfOthers(
+      const Group& group, const std::string& primary) const;
   std::string DescribeOlderTerms(const Group& group) const;
   bool IsListCurrent(TimePoint now) const;
-  bool WillBeExclusive(TimePoint now, const Group& group) const;
-  void DeposeOlderPrimaries(TimePoint now, Group* group);
+  bool WillExcludeOlderTerms(TimePoint now, const Group& group) const;
+  void SettleOlderTerms(TimePoint now, Group* group);
+  void OrderStepDown(TimePoint now, const Group& group,
+                     DatabaseState* database);
+
+  // Proofs of leadership (proxy_proving.cc).
+  size_t WitnessCount(const Group& group, size_t others) const;
   TimePoint ProvedUntil(const Group& group) const;
   void RequestProof(TimePoint now, Group* group, TimePoint since);
   bool NeedsProof(const Group& group) const;
--- a/src/libcore/session/proxy_leadership.cc
+++ b/src/libcore/session/proxy_leadership.cc
@@ -25,11 +25,6 @@
 /// reads. The margin covers a probe and its proof with busy databases.
 /// Statements on the primary also renew marks; probes fill the gaps.
 constexpr milliseconds kMarkRenewalMargin{500};
-/// Interval between orders to one database to step down: several times the
-/// response time of a busy database.
-constexpr milliseconds kStepDownInterval{100};
-/// Maximum number of terms whose leaders are kept.
-constexpr size_t kMaxKnownLeaders = 32;
 /// Lower bound of the probe interval for routes with a very low maximum
 /// staleness, whose reads go to the primary.
 constexpr milliseconds kMinMarkAge{300};
@@ -69,7 +64,7 @@
   SetTerm(now, group, term);
   if (newer) {
     SettleCommits(now, group);
-    DeposeOlderPrimaries(now, group);
+    SettleOlderTerms(now, group);
   }
   group->last_claim_at = std::max(group->last_claim_at, sent_at);
   group->deposed.erase(database);
@@ -83,140 +78,6 @@
   return true;
 }
 
-void Proxy::Impl::SetTerm(TimePoint now, Group* group, uint64_t term) {
-  if (term > group->term) group->term_since = now;
-  group->term = term;
-}
-
-/// Records the leader of a term that a status or the position of a commit
-/// shows; a begin may show the term before.
-void Proxy::Impl::RecordLeader(Group* group, uint64_t term,
-                               const std::string& database) {
-  group->leaders[term] = database;
-  if (group->leaders.size() > kMaxKnownLeaders) {
-    group->leaders.erase(group->leaders.begin());
-  }
-}
-
-/// Returns whether the database may lead a term between the two, each of which
-/// has one leader.
-bool Proxy::Impl::MayLeadBetween(const Group& group,
-                                 const std::string& database, uint64_t after,
-                                 uint64_t before) {
-  for (uint64_t term = after + 1; term < before; ++term) {
-    const auto leader = group.leaders.find(term);
-    if (leader == group.leaders.end() || leader->second == database) {
-      return true;
-    }
-  }
-  return false;
-}
-
-/// Returns what is known of the group's databases but `primary`.
-std::vector<MemberEvidence> Proxy::Impl::EvidenceOf(
-    const Group& group, const std::string& primary) const {
-  std::vector<MemberEvidence> evidence;
-  const auto add = [&group, &evidence](
-                       const std::string& id, const StatusReport& status,
-                       TimePoint status_as_of, const LogPosition& applied) {
-    MemberEvidence member;
-    member.term = std::max({status.term, status.received.term, applied.term});
-    // A replica may lead a later term than its own only.
-    const bool asked_since = status_as_of >= group.term_since;
-    member.replica =
-        status_as_of != TimePoint() && !status.primary &&
-        (asked_since || !MayLeadBetween(group, id, status.term, group.term));
-    evidence.push_back(member);
-  };
-  for (const std::string& id : group.databases) {
-    if (id == primary) continue;
-    const DatabaseState& database = databases_.at(id);
-    add(id, database.status, database.status_as_of, database.applied_position);
-  }
-  for (const auto& [id, database] : group.departed) {
-    if (id == primary) continue;
-    add(id, database.status, database.status_as_of, database.applied);
-  }
-  return evidence;
-}
-
-/// Formats the databases that are not known to have seen the present term, for
-/// the log.
-std::string Proxy::Impl::DescribeOlderTerms(const Group& group) const {
-  std::string text;
-  const auto add = [&group, &text](const std::string& id,
-                                   const StatusReport& status,
-                                   TimePoint status_as_of, const char* state) {
-    if (std::max(status.term, status.received.term) >= group.term) return;
-    if (!text.empty()) text.append(",");
-    text.append(id).append(":").append(std::to_string(status.term));
-    text.append(status.primary ? "(primary)" : "(replica)");
-    text.append(status_as_of >= group.term_since ? "" : "(outdated)");
-    text.append(state);
-  };
-  for (const std::string& id : group.databases) {
-    const DatabaseState& database = databases_.at(id);
-    if (id == group.primary) continue;
-    add(id, database.status, database.status_as_of, "");
-  }
-  for (const auto& [id, database] : group.departed) {
-    add(id, database.status, database.status_as_of, "(departed)");
-  }
-  return text.empty() ? "none" : text;
-}
-
-/// Whether the list of databases was confirmed recently.
-bool Proxy::Impl::IsListCurrent(TimePoint now) const {
-  return now - routes_confirmed_at_ <= kListCurrentFor;
-}
-
-/// Whether commits of the present term can be acknowledged as soon as a replica
-/// has received them.
-bool Proxy::Impl::WillBeExclusive(TimePoint now, const Group& group) const {
-  std::vector<MemberEvidence> evidence = EvidenceOf(group, group.primary);
-  const bool none_seen = std::none_of(
-      evidence.begin(), evidence.end(),
-      [&group](const MemberEvidence& each) { return each.term >= group.term; });
-  // The replica that confirms the commit will have seen the term.
-  if (none_seen && !evidence.empty()) evidence.pop_back();
-  return IsExclusive(group.term, evidence, IsListCurrent(now));
-}
-
-/// Orders databases that may lead an older term to step down. Asks others of
-/// which nothing is known since the present term began for their status, if
-/// commits have to wait for it.
-void Proxy::Impl::DeposeOlderPrimaries(TimePoint now, Group* group) {
-  const bool settled = WillBeExclusive(now, *group);
-  for (const std::string& id : group->databases) {
-    if (id == group->primary) continue;
-    DatabaseState* database = FindDatabase(id);
-    const StatusReport& status = database->status;
-    const bool in_term =
-        std::max(status.term, status.received.term) >= group->term;
-    const bool asked = database->status_as_of >= group->term_since;
-    if (in_term || (asked && !status.primary)) continue;
-    if (!status.primary && !database->info.claims_primary) {
-      if (!settled) RequestStatus(now, database, /*beyond_limit=*/false);
-      continue;
-    }
-    // A pause or resume that waits for a connection goes first.
-    if (database->replication_call.has_value()) continue;
-    if (now < database->step_down_not_before) continue;
-    database->step_down_not_before = now + kStepDownInterval;
-    Event(events_, EventPriority::kState, "step_down_ordered")
-        .Add("group", group->name)
-        .Add("database", id)
-        .Add("database_term", status.term)
-        .Add("term", group->term)
-        .Add("primary", group->primary)
-        .Add("status_age", now - database->status_as_of);
-    BackendCall call;
-    call.kind = CallKind::kStepDown;
-    call.term = group->term;
-    CallReplica(now, id, call);
-  }
-}
-
 void Proxy::Impl::MarkDeposed(TimePoint now, Group* group,
                               const std::string& database,
                               const std::string& why) {
@@ -344,7 +205,7 @@
   group->deposed.erase(id);
   SettleCommits(now, group);
   SettleProofs(now, group);
-  DeposeOlderPrimaries(now, group);
+  SettleOlderTerms(now, group);
   ServeQueues(now, group);
 }
 
--- a/src/libcore/session/proxy_placing.cc
+++ b/src/libcore/session/proxy_placing.cc
@@ -506,7 +506,7 @@
   if (!CheckWorkspace(now, connection, request)) return;
   DatabaseState* database = FindDatabase(connection->database);
   const Caller& caller = callers_.at(request->caller);
-  SessionCalls session = connection->session.Request(
+  SessionCalls session = connection->session.IssueCalls(
       caller.variables, request->prepared.get(),
       /*in_transaction=*/connection->pinned_caller != 0);
   if (session.confirm_first && !IsBegin(*request)) {
--- a/src/libcore/session/proxy_pool.cc
+++ b/src/libcore/session/proxy_pool.cc
@@ -406,7 +406,7 @@
   const DatabaseState& database = databases_.at(id);
   Group* group = EnsureGroup(database.info.group);
   group->departed[id] = {
-      database.status, database.status_as_of, database.applied_position,
+      TermsOf(database),
       database.info.draining ? database.draining_since : database.unlisted_at,
       now};
   if (group->primary == id) group->primary.clear();
--- a/src/libcore/session/proxy_replies.cc
+++ b/src/libcore/session/proxy_replies.cc
@@ -467,6 +467,21 @@
   }
 }
 
+/// Refuses a statement that no database and no keeper was given. A transaction
+/// whose connection still waits for the session's variables is rolled back.
+void Proxy::Impl::GiveUpUnsent(TimePoint now, Request* request,
+                               const std::string& reason) {
+  const bool awaits_session = !request->running_on.empty();
+  if (request->requirement == Requirement::kTransaction && awaits_session) {
+    Connection* connection = FindConnection(request->running_on.front());
+    EndSessionWait(connection);
+    AbandonUnsent(now, connection, request, reason);
+    return;
+  }
+  RefuseRequest(now, request, ErrorCode::kBusy,
+                WithinPatience(now, *request, kRetryAfter), reason);
+}
+
 /// Handles the end of the route's statement timeout.
 void Proxy::Impl::TimeOut(TimePoint now, Request* request) {
   GiveUp(now, request, "not_in_time", "no answer in time");
@@ -486,15 +501,7 @@
     return;
   }
   if (!IsSent(*request)) {
-    if (request->requirement == Requirement::kTransaction &&
-        !request->running_on.empty()) {
-      Connection* connection = FindConnection(request->running_on.front());
-      EndSessionWait(connection);
-      AbandonUnsent(now, connection, request, reason);
-      return;
-    }
-    RefuseRequest(now, request, ErrorCode::kBusy,
-                  WithinPatience(now, *request, kRetryAfter), reason);
+    GiveUpUnsent(now, request, reason);
     return;
   }
   Caller* caller = FindCaller(request->caller);
--- a/src/libcore/session/state.h
+++ b/src/libcore/session/state.h
@@ -276,12 +276,18 @@
   TimePoint replication_call_deadline;
 };
 
-/// What was known of a database that was removed from the list. It may run on,
-/// cut off from the platform's store.
-struct DepartedDatabase {
+/// What is known of the terms of a database.
+struct KnownTerms {
   StatusReport status;
+  /// Time at which the status was requested; epoch if there is none.
   TimePoint status_as_of;
   LogPosition applied;
+};
+
+/// A database that was removed from the list. It may run on, cut off from the
+/// platform's store.
+struct DepartedDatabase {
+  KnownTerms known;
   /// Since when other instances could know that it does not confirm commits: it
   /// drained, or was not listed any more.
   TimePoint leaving_since;
--- a/testsuite/session_leadership/membership_test.cc
+++ b/testsuite/session_leadership/membership_test.cc
@@ -35,9 +35,9 @@
 
 /// The conditions of the rule, each of which can be disabled.
 struct Rule {
-  /// A commit waits until `IsExclusive`.
-  bool exclusive = true;
-  /// Databases that left the list count in `IsExclusive`.
+  /// A commit waits until `ExcludesOlderTerms`.
+  bool excludes_older = true;
+  /// Databases that left the list count in `ExcludesOlderTerms`.
   bool counts_departed = true;
   /// A replica counts as such only if it was asked after the term began.
   bool asks_after_term = true;
@@ -425,8 +425,9 @@
       if (!held) continue;
       const bool current =
           !rule_.needs_current_list || step_ - writer_.confirmed <= kListSteps;
-      if (rule_.exclusive &&
-          !IsExclusive(commit.term, EvidenceOf(commit.primary), current)) {
+      if (rule_.excludes_older &&
+          !ExcludesOlderTerms(commit.term, EvidenceOf(commit.primary),
+                              current)) {
         continue;
       }
       Note("acknowledged: commit of " + commit.primary);
@@ -621,8 +622,12 @@
 // departures and cuts serves a stale read, and with it none.
 TEST(Membership, EachConditionIsNecessary) {
   const Order orders[] = {
-      {"exclusive", {.exclusive = false}, SuccessorUnknownToReader, "a", "c"},
-      {"departed databases in IsExclusive",
+      {"older terms excluded",
+       {.excludes_older = false},
+       SuccessorUnknownToReader,
+       "a",
+       "c"},
+      {"departed databases in ExcludesOlderTerms",
        {.counts_departed = false},
        WitnessUnknownToWriter,
        "a",
--- a/testsuite/session_proxy/session_state_test.cc
+++ b/testsuite/session_proxy/session_state_test.cc
@@ -175,29 +175,29 @@
 TEST(ConnectionSessionTest, HoldsOnlyWhatWasConfirmed) {
   ConnectionSession session;
   const Variables one = {{"a", "1"}};
-  auto request = session.Request(one, nullptr, false);
+  auto request = session.IssueCalls(one, nullptr, false);
   ASSERT_EQ(request.calls.size(), 1U);
   EXPECT_TRUE(request.confirm_first);
   EXPECT_FALSE(session.HasVariables(one));
   AnswerAll(&session, true);
   EXPECT_TRUE(session.HasVariables(one));
-  EXPECT_TRUE(session.Request(one, nullptr, false).calls.empty());
+  EXPECT_TRUE(session.IssueCalls(one, nullptr, false).calls.empty());
 }
 
 // A refused call may have taken effect, so the value is unknown and neither
 // session may rely on it.
 TEST(ConnectionSessionTest, ARefusedVariableIsUnknown) {
   ConnectionSession session;
-  session.Request({{"a", "1"}}, nullptr, false);
+  session.IssueCalls({{"a", "1"}}, nullptr, false);
   AnswerAll(&session, false);
   EXPECT_FALSE(session.HasVariables({{"a", "1"}}));
   EXPECT_FALSE(session.HasVariables({}));
-  const auto clean = session.Request({}, nullptr, false);
+  const auto clean = session.IssueCalls({}, nullptr, false);
   ASSERT_EQ(clean.calls.size(), 1U);
   EXPECT_EQ(clean.calls[0].kind, CallKind::kDiscard);
   AnswerAll(&session, false);
   EXPECT_FALSE(session.HasVariables({}));
-  session.Request({}, nullptr, false);
+  session.IssueCalls({}, nullptr, false);
   AnswerAll(&session, true);
   EXPECT_TRUE(session.HasVariables({}));
 }
@@ -205,9 +205,9 @@
 // A variable that is refused after the others were discarded may be set.
 TEST(ConnectionSessionTest, ARefusalAfterADiscardLeavesAnUnknownValue) {
   ConnectionSession session;
-  session.Request({{"b", "2"}}, nullptr, false);
+  session.IssueCalls({{"b", "2"}}, nullptr, false);
   AnswerAll(&session, true);
-  const auto request = session.Request({{"a", "1"}}, nullptr, false);
+  const auto request = session.IssueCalls({{"a", "1"}}, nullptr, false);
   ASSERT_EQ(request.calls.size(), 2U);
   session.OnAnswer(true);
   session.OnAnswer(false);
@@ -218,12 +218,12 @@
 TEST(ConnectionSessionTest, APreparedStatementNeedsNoConfirmation) {
   ConnectionSession session;
   const Prepared prepared{3, true, "shape"};
-  const auto request = session.Request({}, &prepared, false);
+  const auto request = session.IssueCalls({}, &prepared, false);
   ASSERT_EQ(request.calls.size(), 1U);
   EXPECT_FALSE(request.confirm_first);
   AnswerAll(&session, false);
   EXPECT_FALSE(session.HasPrepared(prepared));
-  session.Request({}, &prepared, false);
+  session.IssueCalls({}, &prepared, false);
   AnswerAll(&session, true);
   EXPECT_TRUE(session.HasPrepared(prepared));
 }
