--- a/testsuite/session_proxy/membership_test.cc
+++ b/testsuite/session_proxy/membership_test.cc
@@ -120,7 +120,8 @@
   hosts_[0]->proxy()->ProbeGroup(clock_.now(), "group");
   RunFor(100);
   cluster_.Promote("db-b");
-  // All connections to the old primary are busy until the new one has committed.
+  // All connections to the old primary are busy until the new one has
+  // committed.
   FakeDatabase& old = cluster_.database("db-a");
   old.min_work = old.max_work = milliseconds(70);
   old.max_connections = cluster_.connections("db-a");
