--- a/review/5/scenario.cc
+++ b/review/5/scenario.cc
@@ -1,7 +1,6 @@
-// The holder of the duty to promote is cut off from the platform, a primary
-// crashes, and the cut heals after another instance has taken the duty over.
-// Exits with 1 if the platform, which checks no fences, was then sent a lower
-// token than one it had seen for the same service.
+// A session commits, its route is moved to another service and back while the
+// replicas of the first one are behind, and the session reads what it wrote.
+// Exits with 1 if such a read ran on a log that lacks the session's own commit.
 
 #include <iostream>
 
@@ -12,25 +11,39 @@
 using fleet::NowMs;
 using fleet::SleepMs;
 
-/// The cut begins this long after the planned change of another service's
-/// primary, and the crash this long after the cut.
-constexpr int64_t kQuietMs = 1500;
-constexpr int64_t kCrashAfterMs = 800;
-/// Length of the cut (`core_cut`, `node_cut`: 5.5 s at most).
-constexpr int64_t kCutMs = 3700;
+/// Data age that the route accepts, as on the deployments.
+constexpr int64_t kMaxStalenessMs = 2500;
+/// Replicas usually are 60 ms behind; during the disruption 25 times as much.
+constexpr int64_t kUsualLagMs = 60;
+constexpr int64_t kLagMs = 1500;
+/// Pause between two configurations (`config_storm`: 0.33 s).
+constexpr int64_t kGapMs = 400;
+constexpr int kRounds = 6;
 
-constexpr const char* kConfig =
-    R"({"version":1,"routes":[
-{"name":"r1","host":"book","type":"primary","timeout_ms":1000,"goal_ms":200,"priority":1,"service":"db-a"},
-{"name":"r2","host":"check","type":"session","timeout_ms":1000,"goal_ms":400,"priority":2,"service":"db-b","max_staleness_ms":2500}],
-"services":[{"name":"db-a","max_conns":34},{"name":"db-b","max_conns":34}],"limits":{"tx_idle_ms":3000}})";
+/// The route of `stock` is removed and one to `service` is added in its place:
+/// each version gives it a name of its own.
+std::string Config(int version, const std::string& service) {
+  return "{\"version\":" + std::to_string(version) +
+         ",\"routes\":[{\"name\":\"stock-" + std::to_string(version) +
+         "\",\"host\":\"stock\",\"type\":\"session\","
+         "\"timeout_ms\":1000,\"goal_ms\":400,\"priority\":2,\"service\":\"" +
+         service + "\",\"max_staleness_ms\":" +
+         std::to_string(kMaxStalenessMs) +
+         "},{\"name\":\"r2\",\"host\":\"orders\",\"type\":\"primary\","
+         "\"timeout_ms\":1000,\"goal_ms\":200,\"priority\":1,"
+         "\"service\":\"core-a\"}],"
+         "\"services\":[{\"name\":\"core-a\",\"max_conns\":38},"
+         "{\"name\":\"core-b\",\"max_conns\":38}],"
+         "\"limits\":{\"tx_idle_ms\":3000}}";
+}
 
-/// One call of POST /promote as it reached the platform.
-struct Order {
-  std::string holder, service, id;
-  uint64_t token = 0;
-  int64_t at = 0;
-};
+/// What the group's databases ran with this digest; no id if nothing.
+fleet::Group::Run FindRun(fleet::Group& group, const std::string& digest) {
+  for (const auto& run : group.runs()) {
+    if (run.digest == digest) return run;
+  }
+  return {};
+}
 
 }  // namespace
 
@@ -42,127 +55,112 @@
   fleet::Record record(argv[2]);
   fleet::Loop loop;
   fleet::Store store(&loop);
-  std::map<std::string, std::unique_ptr<fleet::Group>> groups;
-  for (const std::string name : {"db-a", "db-b"}) {
-    const std::string letter = name.substr(3);
-    groups[name] = std::make_unique<fleet::Group>(
-        &loop, &store, &record, name,
-        std::vector<std::string>{letter + "-1", letter + "-2", letter + "-3"}, 34);
-  }
-  std::vector<Order> orders;
-  // `strict_fencing` is false: the platform does not check the fence.
-  const auto promote = [&](const fleet::Loop::PeerRef& peer) {
-    fleet::HttpRequest request;
-    while (fleet::TakeRequest(&peer->in, &request)) {
-      Order order;
-      order.holder = request.headers["ryefold-duty-holder"];
-      order.token = std::strtoull(request.headers["ryefold-fence-token"].c_str(),
-                                  nullptr, 10);
-      order.service = fleet::Member(request.body, "service");
-      order.id = fleet::Member(request.body, "id");
-      order.at = NowMs();
-      orders.push_back(order);
-      record.Line("platform got: promote " + order.id + " of " + order.service +
-                  " from " + order.holder + " token " +
-                  std::to_string(order.token));
-      const auto group = groups.find(order.service);
-      const int status =
-          group == groups.end() ? 404 : group->second->Promote(order.id);
-      loop.After(4, [&loop, peer, status] {
-        loop.Send(peer, fleet::HttpAnswer(status, "{}"));
+  const uint16_t store_port = store.Serve("");
+  const uint16_t promote_port =
+      loop.Serve("", [&loop](const fleet::Loop::PeerRef& peer) {
+        fleet::HttpRequest request;
+        if (!fleet::TakeRequest(&peer->in, &request)) return;
+        loop.Send(peer, fleet::HttpAnswer(200, "{}"));
       });
-      request = fleet::HttpRequest();
-    }
-  };
-  store.Put("op/config", kConfig);
+  fleet::Group a(&loop, &store, &record, "core-a", {"a-1", "a-2", "a-3"}, 38);
+  fleet::Group b(&loop, &store, &record, "core-b", {"b-1", "b-2", "b-3"}, 38);
+  int version = 1;
+  store.Put("op/config", Config(version, "core-a"));
+  loop.Start();
+
   std::vector<std::unique_ptr<fleet::Gateway>> gateways;
   const char* zones[] = {"hall-a", "hall-b", "hall-c"};
   for (int i = 0; i < 3; ++i) {
-    const std::string name = "front-" + std::to_string(i + 1);
-    // Ports of its own, so that one machine can be cut off.
     gateways.push_back(std::make_unique<fleet::Gateway>(
-        name, zones[i], folder, store.Serve(name), loop.Serve(name, promote)));
+        "front-" + std::to_string(i + 1), zones[i], folder, store_port,
+        promote_port));
+    gateways.back()->Start();
   }
-  loop.Start();
-  for (const auto& gateway : gateways) gateway->Start();
   for (const auto& gateway : gateways) {
     if (!fleet::AwaitReady(*gateway, 10000)) return 2;
   }
-  SleepMs(4500);
+  SleepMs(4000);
 
-  // Usual work, so that the services are in use.
+  // Usual work of others: writes and reads on both services.
   std::atomic<bool> stop{false};
-  std::vector<std::thread> callers;
+  std::vector<std::thread> others;
   for (int i = 0; i < 6; ++i) {
-    callers.emplace_back([&, i] {
+    others.emplace_back([&, i] {
       const uint16_t port = gateways[static_cast<size_t>(i % 3)]->session_port();
+      const std::string host = i < 3 ? "orders" : "stock";
       while (!stop) {
-        fleet::Session session(port, i < 3 ? "book" : "check", &record,
-                               "caller-" + std::to_string(i));
-        while (session.started() && !stop) {
-          const auto answer =
-              session.Ask(fleet::NextId(), "WRITE k" + std::to_string(i) + " v");
+        fleet::Session session(port, host, &record, "other-" + std::to_string(i));
+        for (int n = 0; session.started() && !stop && n < 1000; ++n) {
+          const std::string item = "o" + std::to_string(i);
+          const bool write = host == "orders" && n % 3 == 0;
+          const auto answer = session.Ask(
+              fleet::NextId(), write ? "WRITE " + item + " " + std::to_string(n)
+                                     : "READ " + item);
           if (!answer.whole) break;
-          SleepMs(40);
+          SleepMs(30);
         }
         SleepMs(20);
       }
     });
   }
-  const auto finish = [&](int code) {
-    stop = true;
-    for (std::thread& caller : callers) caller.join();
-    gateways.clear();
-    loop.Stop();
-    return code;
-  };
-  const auto orders_now = [&] {
-    const std::lock_guard<std::recursive_mutex> guard(loop.mutex);
-    return orders;
-  };
-  SleepMs(1000);
-
-  // A planned change: the primary of db-b leaves.
-  record.Line("db-b: b-1 reports draining");
-  groups["db-b"]->Drain("b-1");
-  for (int i = 0; i < 100 && orders_now().empty(); ++i) SleepMs(50);
-  if (orders_now().empty()) return finish(2);
-  const std::string holder = orders_now().back().holder;
-  SleepMs(kQuietMs);
+  SleepMs(1500);
 
-  if (trouble) {
-    record.Line("cut off from the platform: " + holder);
-    loop.Cut(holder, true);
-  }
-  SleepMs(kCrashAfterMs);
-  record.Line("db-a: a-1 crashes");
-  groups["db-a"]->Crash("a-1");
-  SleepMs(kCutMs - kCrashAfterMs);
-  if (trouble) {
-    record.Line("the cut heals");
-    loop.Cut(holder, false);
-  }
-  SleepMs(3000);
-
-  std::map<std::string, uint64_t> newest;
-  int lower = 0, of_crash = 0;
-  for (const Order& order : orders_now()) {
-    if (order.service == "db-a") ++of_crash;
-    uint64_t& seen = newest[order.service];
-    if (order.token < seen) {
-      ++lower;
-      record.Line("ONE: " + order.holder + " sent token " +
-                  std::to_string(order.token) + " for " + order.service +
-                  ", which had seen " + std::to_string(seen));
+  a.SetLag(kLagMs);
+  record.Line(std::string("replicas of core-a apply ") + std::to_string(kLagMs) +
+              " ms late");
+  SleepMs(2000);
+  int reads = 0, own_missed = 0, commits = 0, moved = 0;
+  for (int round = 0; round < kRounds; ++round) {
+    fleet::Session session(gateways[0]->session_port(), "stock", &record, "own");
+    if (!session.started()) return 2;
+    const std::string item = "k" + std::to_string(round);
+    const auto written =
+        session.Ask(fleet::NextId(), "WRITE " + item + " mine" + std::to_string(round));
+    if (!written.ok()) continue;
+    const int64_t acknowledged = NowMs();
+    ++commits;
+    const auto run = FindRun(a, written.digest);
+    const auto operate = [&](const std::string& service) {
+      if (!trouble) return;
+      store.Put("op/config", Config(++version, service));
+      record.Line("acknowledged: configuration " + std::to_string(version) +
+                  ", route stock leads to " + service);
+    };
+    SleepMs(100);
+    operate("core-b");
+    SleepMs(kGapMs);
+    // Any read of the session, as it makes them all the time.
+    const auto between = session.Ask(fleet::NextId(), "READ " + item);
+    if (between.ok() && !FindRun(b, between.digest).id.empty()) ++moved;
+    operate("core-a");
+    SleepMs(kGapMs);
+    while (NowMs() < acknowledged + kMaxStalenessMs - 100) {
+      const auto read = session.Ask(fleet::NextId(), "READ " + item);
+      const auto ran = read.ok() ? FindRun(a, read.digest) : fleet::Group::Run{};
+      if (!ran.id.empty()) {
+        ++reads;
+        if (ran.log < run.log) {
+          ++own_missed;
+          record.Line("STALE: " + ran.id + " ran at " + ran.database +
+                      " on log " + ran.log.Text() +
+                      ", the session's own commit acknowledged before is " +
+                      run.log.Text() + ", answered \"" + read.rows[0] + "\"");
+        }
+      }
+      SleepMs(50);
     }
-    seen = std::max(seen, order.token);
   }
+  a.SetLag(kUsualLagMs);
+  stop = true;
+  for (std::thread& other : others) other.join();
   std::ostringstream result;
-  result << "promotions that reached the platform " << orders_now().size()
-         << ", of these for the crashed primary " << of_crash
-         << ", with a lower token than seen before " << lower;
+  result << "commits " << commits << ", reads between at core-b " << moved
+         << ", reads at core-a " << reads << ", of these without the session's "
+         << "own commit " << own_missed;
   record.Line(result.str());
   std::cout << result.str() << std::endl;
-  if (of_crash == 0) return finish(2);
-  return finish(lower > 0 ? 1 : 0);
+  gateways.clear();
+  loop.Stop();
+  if (commits < kRounds / 2 || reads == 0 || (trouble && moved == 0)) return 2;
+  return own_missed > 0 ? 1 : 0;
 }
--- a/review/kit-2/fleet.h
+++ b/review/kit-2/fleet.h
@@ -610,6 +610,8 @@
   struct Entry {
     Position position;
     std::vector<std::pair<std::string, std::string>> writes;
+    /// Ids of the statements that wrote.
+    std::vector<std::string> ids;
   };
   /// A statement of a caller that a database has run.
   struct Run {
@@ -651,6 +653,22 @@
     lag_ms_ = ms;
   }
   void SetWork(int64_t ms) { work_ms_ = ms; }
+  /// `sync_replicas` 1: a commit is acknowledged once a replica has received it.
+  void SetSync(bool sync) { sync_ = sync; }
+  /// A deaf replica receives nothing.
+  void SetDeaf(const std::string& id, bool deaf) {
+    const std::lock_guard<std::recursive_mutex> guard(loop_->mutex);
+    databases_.at(id).deaf = deaf;
+  }
+  /// Ids of the writes in the database's log.
+  std::set<std::string> LogOf(const std::string& id) {
+    const std::lock_guard<std::recursive_mutex> guard(loop_->mutex);
+    std::set<std::string> ids;
+    for (const Received& each : databases_.at(id).log) {
+      ids.insert(each.entry.ids.begin(), each.entry.ids.end());
+    }
+    return ids;
+  }
   void Drain(const std::string& id) {
     const std::lock_guard<std::recursive_mutex> guard(loop_->mutex);
     databases_.at(id).draining = true;
@@ -690,7 +708,11 @@
     char state = 'I';
     bool read_only = false;
     std::vector<std::pair<std::string, std::string>> writes;
+    std::vector<std::string> write_ids;
     std::map<std::string, std::pair<bool, std::string>> prepared;
+    /// Last commit that waits for a replica, and whether there is one.
+    Position committed;
+    bool awaits_replica = false;
   };
   struct Received {
     Entry entry;
@@ -700,7 +722,7 @@
   struct Database {
     std::string id, zone;
     uint16_t port = 0;
-    bool up = true, primary = false, draining = false;
+    bool up = true, primary = false, draining = false, deaf = false;
     uint64_t term = 1, paused = 0;
     std::vector<Received> log;
     std::map<std::string, std::string> data;
@@ -760,7 +782,7 @@
     }
     for (auto& [id, database] : databases_) {
       if (!database.up || database.primary) continue;
-      while (primary != nullptr && database.paused == 0 &&
+      while (primary != nullptr && database.paused == 0 && !database.deaf &&
              database.log.size() < primary->log.size()) {
         const Received& next = primary->log[database.log.size()];
         if (now < next.at + 2) break;
@@ -824,11 +846,34 @@
       Database& now = databases_.at(id);
       const auto session = now.sessions.find(peer.get());
       if (session == now.sessions.end() || !now.up) return;
-      session->second.busy = false;
-      loop_->Send(peer, Call(&now, &session->second, call_id, text));
-      Next(id, peer);
+      const std::string answer = Call(&now, &session->second, call_id, text);
+      Answer(id, peer, answer);
     });
   }
+  /// Sends the answer, one of a commit with `sync_replicas` once a replica has
+  /// received it. Draining replicas count.
+  void Answer(const std::string& id, const Loop::PeerRef& peer,
+              const std::string& answer) {
+    Database& database = databases_.at(id);
+    const auto session = database.sessions.find(peer.get());
+    if (session == database.sessions.end() || !database.up) return;
+    if (sync_ && session->second.awaits_replica && database.primary) {
+      const Position committed = session->second.committed;
+      const bool received = std::any_of(
+          databases_.begin(), databases_.end(), [&](const auto& each) {
+            return each.second.up && !each.second.primary &&
+                   !(each.second.received < committed);
+          });
+      if (!received) {
+        loop_->After(1, [this, id, peer, answer] { Answer(id, peer, answer); });
+        return;
+      }
+    }
+    session->second.awaits_replica = false;
+    session->second.busy = false;
+    loop_->Send(peer, answer);
+    Next(id, peer);
+  }
   std::string Ready(const Database& database, const Session& session) const {
     return std::string("READY ") + session.state + " " +
            database.applied.Text() + "\r\n";
@@ -858,6 +903,9 @@
     Entry entry;
     entry.position = {database->term, database->applied.number + 1};
     entry.writes = std::exchange(session->writes, {});
+    entry.ids = std::exchange(session->write_ids, {});
+    session->committed = entry.position;
+    session->awaits_replica = true;
     database->log.push_back({entry, NowMs(), false});
     database->received = entry.position;
     Apply(database, &database->log.back());
@@ -916,6 +964,7 @@
       session->state = 'T';
       session->read_only = read_only;
       session->writes.clear();
+      session->write_ids.clear();
       return Done(*database, *session, "", "-");
     }
     const bool lost_lead = session->state == 'T' && !session->read_only &&
@@ -923,6 +972,7 @@
     if (verb == "ROLLBACK" || (verb == "COMMIT" && session->state == 'E')) {
       session->state = 'I';
       session->writes.clear();
+      session->write_ids.clear();
       return Done(*database, *session, "", "-");
     }
     if (lost_lead && !(verb == "COMMIT" && session->writes.empty())) {
@@ -948,6 +998,7 @@
     }
     if (!database->primary) return Error(*database, session, "READONLY");
     session->writes.emplace_back(words[1], words.size() > 2 ? words[2] : "");
+    session->write_ids.push_back(id);
     if (session->state == 'I') Commit(database, session);
     return Ran(database, *session, id, text, "");
   }
@@ -961,6 +1012,7 @@
   std::vector<Run> runs_;
   int64_t lag_ms_ = 60, work_ms_ = 8, promote_ms_ = 1000;
   uint64_t sequence_ = 0, digests_ = 0;
+  bool sync_ = false;
 };
 
 // ---- processes under test and callers ----
