--- a/review/5/scenario.cc
+++ b/review/5/scenario.cc
@@ -27,8 +27,8 @@
          ",\"routes\":[{\"name\":\"stock-" + std::to_string(version) +
          "\",\"host\":\"stock\",\"type\":\"session\","
          "\"timeout_ms\":1000,\"goal_ms\":400,\"priority\":2,\"service\":\"" +
-         service + "\",\"max_staleness_ms\":" +
-         std::to_string(kMaxStalenessMs) +
+         service +
+         "\",\"max_staleness_ms\":" + std::to_string(kMaxStalenessMs) +
          "},{\"name\":\"r2\",\"host\":\"orders\",\"type\":\"primary\","
          "\"timeout_ms\":1000,\"goal_ms\":200,\"priority\":1,"
          "\"service\":\"core-a\"}],"
@@ -51,7 +51,8 @@
   if (argc < 3) return 2;
   const std::string folder = argv[1];
   const char* trouble_text = std::getenv("TROUBLE");
-  const bool trouble = trouble_text == nullptr || std::string(trouble_text) != "0";
+  const bool trouble =
+      trouble_text == nullptr || std::string(trouble_text) != "0";
   fleet::Record record(argv[2]);
   fleet::Loop loop;
   fleet::Store store(&loop);
@@ -86,10 +87,12 @@
   std::vector<std::thread> others;
   for (int i = 0; i < 6; ++i) {
     others.emplace_back([&, i] {
-      const uint16_t port = gateways[static_cast<size_t>(i % 3)]->session_port();
+      const uint16_t port =
+          gateways[static_cast<size_t>(i % 3)]->session_port();
       const std::string host = i < 3 ? "orders" : "stock";
       while (!stop) {
-        fleet::Session session(port, host, &record, "other-" + std::to_string(i));
+        fleet::Session session(port, host, &record,
+                               "other-" + std::to_string(i));
         for (int n = 0; session.started() && !stop && n < 1000; ++n) {
           const std::string item = "o" + std::to_string(i);
           const bool write = host == "orders" && n % 3 == 0;
@@ -106,16 +109,17 @@
   SleepMs(1500);
 
   a.SetLag(kLagMs);
-  record.Line(std::string("replicas of core-a apply ") + std::to_string(kLagMs) +
-              " ms late");
+  record.Line(std::string("replicas of core-a apply ") +
+              std::to_string(kLagMs) + " ms late");
   SleepMs(2000);
   int reads = 0, own_missed = 0, commits = 0, moved = 0;
   for (int round = 0; round < kRounds; ++round) {
-    fleet::Session session(gateways[0]->session_port(), "stock", &record, "own");
+    fleet::Session session(gateways[0]->session_port(), "stock", &record,
+                           "own");
     if (!session.started()) return 2;
     const std::string item = "k" + std::to_string(round);
-    const auto written =
-        session.Ask(fleet::NextId(), "WRITE " + item + " mine" + std::to_string(round));
+    const auto written = session.Ask(
+        fleet::NextId(), "WRITE " + item + " mine" + std::to_string(round));
     if (!written.ok()) continue;
     const int64_t acknowledged = NowMs();
     ++commits;
@@ -136,7 +140,8 @@
     SleepMs(kGapMs);
     while (NowMs() < acknowledged + kMaxStalenessMs - 100) {
       const auto read = session.Ask(fleet::NextId(), "READ " + item);
-      const auto ran = read.ok() ? FindRun(a, read.digest) : fleet::Group::Run{};
+      const auto ran =
+          read.ok() ? FindRun(a, read.digest) : fleet::Group::Run{};
       if (!ran.id.empty()) {
         ++reads;
         if (ran.log < run.log) {
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -10,3 +10,5 @@
   number=$(basename "$(dirname "$source")")
   g++ -std=c++20 -O1 -Wall -Wextra -Werror -pthread "$source" -o "$out/case-$number"
 done
+g++ -std=c++20 -O1 -Wall -Wextra -Werror -pthread review/kept-2/hangup_at_start.cc \
+  -o "$out/hangup_at_start"
--- a/review/kit-2/fleet.h
+++ b/review/kit-2/fleet.h
@@ -333,7 +333,8 @@
     std::string value = line.substr(colon + 1);
     value.erase(0, value.find_first_not_of(' '));
     request->headers[name] = value;
-    if (name == "content-length") length = std::strtoull(value.c_str(), nullptr, 10);
+    if (name == "content-length")
+      length = std::strtoull(value.c_str(), nullptr, 10);
   }
   if (in->size() < end + 4 + length) return false;
   request->body = in->substr(end + 4, length);
@@ -362,7 +363,8 @@
   size_t at = json.find("\"" + name + "\":");
   if (at == std::string::npos) return "";
   at += name.size() + 3;
-  if (json[at] == '"') return json.substr(at + 1, json.find('"', at + 1) - at - 1);
+  if (json[at] == '"')
+    return json.substr(at + 1, json.find('"', at + 1) - at - 1);
   return json.substr(at, json.find_first_of(",}]", at) - at);
 }
 
@@ -533,7 +535,8 @@
     for (const std::string& each : Objects(body, "expect_rev")) {
       const auto item = items_.find(Member(each, "key"));
       const uint64_t have = item == items_.end() ? 0 : item->second.revision;
-      if (have != std::strtoull(Member(each, "revision").c_str(), nullptr, 10)) {
+      if (have !=
+          std::strtoull(Member(each, "revision").c_str(), nullptr, 10)) {
         return answer(412, "{\"items\":[]}");
       }
     }
@@ -634,7 +637,8 @@
       database.zone = zones[i % 3];
       database.primary = i == 0;
       database.port = loop_->Serve(
-          "", [this, id = ids[i]](const Loop::PeerRef& peer) { Read(id, peer); },
+          "",
+          [this, id = ids[i]](const Loop::PeerRef& peer) { Read(id, peer); },
           [this, id = ids[i]](const Loop::PeerRef& peer) {
             databases_.at(id).sessions[peer.get()] = Session();
             peer->on_closed = [this, id, raw = peer.get()] {
@@ -653,7 +657,8 @@
     lag_ms_ = ms;
   }
   void SetWork(int64_t ms) { work_ms_ = ms; }
-  /// `sync_replicas` 1: a commit is acknowledged once a replica has received it.
+  /// `sync_replicas` 1: a commit is acknowledged once a replica has received
+  /// it.
   void SetSync(bool sync) { sync_ = sync; }
   /// A deaf replica receives nothing.
   void SetDeaf(const std::string& id, bool deaf) {
@@ -735,7 +740,8 @@
     store_->Put("servers/" + id,
                 "{\"service\":\"" + name_ + "\",\"address\":\"127.0.0.1:" +
                     std::to_string(database.port) + "\",\"zone\":\"" +
-                    database.zone + "\",\"version\":1,\"slots\":3,\"state\":\"" +
+                    database.zone +
+                    "\",\"version\":1,\"slots\":3,\"state\":\"" +
                     (database.draining ? "draining" : "ready") +
                     "\",\"cold_left_ms\":0,\"db_role\":\"" +
                     (database.primary ? "primary" : "replica") +
@@ -820,8 +826,8 @@
         }
         session.started = true;
         loop_->After(12, [this, id, peer] {
-          loop_->Send(peer, "READY I " + databases_.at(id).applied.Text() +
-                                "\r\n");
+          loop_->Send(peer,
+                      "READY I " + databases_.at(id).applied.Text() + "\r\n");
         });
         continue;
       }
@@ -841,14 +847,15 @@
     found->second.busy = true;
     const auto [call_id, text] = found->second.calls.front();
     found->second.calls.pop_front();
-    loop_->After(call_id == "-" ? 1 : work_ms_, [this, id, peer, call_id = call_id,
-                                                 text = text] {
-      Database& now = databases_.at(id);
-      const auto session = now.sessions.find(peer.get());
-      if (session == now.sessions.end() || !now.up) return;
-      const std::string answer = Call(&now, &session->second, call_id, text);
-      Answer(id, peer, answer);
-    });
+    loop_->After(call_id == "-" ? 1 : work_ms_,
+                 [this, id, peer, call_id = call_id, text = text] {
+                   Database& now = databases_.at(id);
+                   const auto session = now.sessions.find(peer.get());
+                   if (session == now.sessions.end() || !now.up) return;
+                   const std::string answer =
+                       Call(&now, &session->second, call_id, text);
+                   Answer(id, peer, answer);
+                 });
   }
   /// Sends the answer, one of a commit with `sync_replicas` once a replica has
   /// received it. Draining replicas count.
@@ -910,7 +917,8 @@
     database->received = entry.position;
     Apply(database, &database->log.back());
   }
-  std::string StatusRow(const Database& database, const Session& session) const {
+  std::string StatusRow(const Database& database,
+                        const Session& session) const {
     const std::string row =
         std::string(database.primary ? "primary " : "replica ") +
         std::to_string(database.term) + " " + database.received.Text() + " " +
@@ -926,7 +934,8 @@
     if (words.size() > 2 && words[0] == "SINCE") {
       Position since;
       std::sscanf(words[1].c_str(), "%lu.%lu", &since.term, &since.number);
-      if (database->applied < since) return Error(*database, session, "LAGGING");
+      if (database->applied < since)
+        return Error(*database, session, "LAGGING");
       text = text.substr(text.find(words[1]) + words[1].size() + 1);
       words.erase(words.begin(), words.begin() + 2);
     }
@@ -967,8 +976,8 @@
       session->write_ids.clear();
       return Done(*database, *session, "", "-");
     }
-    const bool lost_lead = session->state == 'T' && !session->read_only &&
-                           !database->primary;
+    const bool lost_lead =
+        session->state == 'T' && !session->read_only && !database->primary;
     if (verb == "ROLLBACK" || (verb == "COMMIT" && session->state == 'E')) {
       session->state = 'I';
       session->writes.clear();
@@ -1031,19 +1040,19 @@
     const auto address = [](uint16_t port) {
       return "\"127.0.0.1:" + std::to_string(port) + "\"";
     };
-    settings << "{\n  \"name\": \"" << name_ << "\",\n  \"failure_domain\": \""
-             << zone << "\",\n  \"session_address\": "
-             << address(session_port_)
-             << ",\n  \"ready_address\": " << address(ready_port_)
-             << ",\n  \"peer_address\": " << address(FreePort())
-             << ",\n  \"metrics_address\": " << address(FreePort())
-             << ",\n  \"store_address\": " << address(store)
-             << ",\n  \"promotion_address\": " << address(promote)
-             << ",\n  \"first_start\": true,\n  \"stop_grace_s\": 6,\n"
-             << "  \"restart_allowance\": true,\n  \"queue_shares\": \"work\",\n"
-             << "  \"keeper_choice\": \"expected_wait\",\n"
-             << "  \"limit_order\": \"priority\",\n"
-             << "  \"database_concurrency\": \"adaptive\"\n}\n";
+    settings
+        << "{\n  \"name\": \"" << name_ << "\",\n  \"failure_domain\": \""
+        << zone << "\",\n  \"session_address\": " << address(session_port_)
+        << ",\n  \"ready_address\": " << address(ready_port_)
+        << ",\n  \"peer_address\": " << address(FreePort())
+        << ",\n  \"metrics_address\": " << address(FreePort())
+        << ",\n  \"store_address\": " << address(store)
+        << ",\n  \"promotion_address\": " << address(promote)
+        << ",\n  \"first_start\": true,\n  \"stop_grace_s\": 6,\n"
+        << "  \"restart_allowance\": true,\n  \"queue_shares\": \"work\",\n"
+        << "  \"keeper_choice\": \"expected_wait\",\n"
+        << "  \"limit_order\": \"priority\",\n"
+        << "  \"database_concurrency\": \"adaptive\"\n}\n";
   }
   ~Gateway() { Kill(); }
 
@@ -1111,9 +1120,10 @@
     const int on = 1;
     setsockopt(fd_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     sockaddr_in address = Loopback(port);
-    started_ =
-        connect(fd_, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0 &&
-        Write("START " + host + "\r\n") && ReadLine(2000).rfind("READY", 0) == 0;
+    started_ = connect(fd_, reinterpret_cast<sockaddr*>(&address),
+                       sizeof(address)) == 0 &&
+               Write("START " + host + "\r\n") &&
+               ReadLine(2000).rfind("READY", 0) == 0;
   }
   ~Session() { close(fd_); }
   Session(const Session&) = delete;
@@ -1192,7 +1202,8 @@
     const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in address = Loopback(gateway.ready_port());
     std::string answer;
-    if (connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0) {
+    if (connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) ==
+        0) {
       const std::string ask = "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n";
       send(fd, ask.data(), ask.size(), MSG_NOSIGNAL);
       pollfd polled{fd, POLLIN, 0};
