--- a/review/kit-2/fleet.h
+++ b/review/kit-2/fleet.h
@@ -400,6 +400,22 @@
   return text;
 }
 
+inline std::string FromBase64(const std::string& text) {
+  std::string bytes;
+  uint32_t group = 0;
+  int bits = 0;
+  for (const char each : text) {
+    const char* found = std::strchr(kBase64, each);
+    if (each == '=' || found == nullptr) break;
+    group = group << 6 | static_cast<uint32_t>(found - kBase64);
+    bits += 6;
+    if (bits < 8) continue;
+    bits -= 8;
+    bytes += static_cast<char>(group >> bits & 0xff);
+  }
+  return bytes;
+}
+
 /// The platform's store. Values of the system itself are kept as they came, in
 /// base64.
 class Store {
@@ -427,9 +443,11 @@
     Remove(key, ++revision_);
     AnswerWatches(false);
   }
-  bool Has(const std::string& key) {
+  /// The value of a key, "" if there is none.
+  std::string Value(const std::string& key) {
     const std::lock_guard<std::recursive_mutex> guard(loop_->mutex);
-    return items_.count(key) > 0;
+    const auto found = items_.find(key);
+    return found == items_.end() ? "" : FromBase64(found->second.value);
   }
 
  private:
@@ -624,7 +642,8 @@
   };
 
   Group(Loop* loop, Store* store, Record* record, std::string name,
-        std::vector<std::string> ids, uint32_t max_connections)
+        std::vector<std::string> ids, uint32_t max_connections,
+        const std::set<std::string>& unlisted = {})
       : loop_(loop),
         store_(store),
         record_(record),
@@ -646,9 +665,19 @@
             };
           });
     }
-    for (const auto& [id, database] : databases_) Report(id);
+    for (auto& [id, database] : databases_) {
+      database.listed = unlisted.count(id) == 0;
+      Report(id);
+    }
     Tick();
   }
+  /// A database that was not listed at the start registers itself. It has
+  /// received everything meanwhile.
+  void Join(const std::string& id) {
+    const std::lock_guard<std::recursive_mutex> guard(loop_->mutex);
+    databases_.at(id).listed = true;
+    Report(id);
+  }
 
   const std::string& name() const { return name_; }
   /// Replicas apply this late from now on.
@@ -727,7 +756,8 @@
   struct Database {
     std::string id, zone;
     uint16_t port = 0;
-    bool up = true, primary = false, draining = false, deaf = false;
+    bool up = true, listed = true;
+    bool primary = false, draining = false, deaf = false;
     uint64_t term = 1, paused = 0;
     std::vector<Received> log;
     std::map<std::string, std::string> data;
@@ -737,6 +767,7 @@
 
   void Report(const std::string& id) {
     const Database& database = databases_.at(id);
+    if (!database.listed) return;
     store_->Put("servers/" + id,
                 "{\"service\":\"" + name_ + "\",\"address\":\"127.0.0.1:" +
                     std::to_string(database.port) + "\",\"zone\":\"" +
@@ -1033,32 +1064,21 @@
   Gateway(std::string name, std::string zone, std::string folder,
           uint16_t store, uint16_t promote)
       : name_(std::move(name)),
+        zone_(std::move(zone)),
         folder_(std::move(folder)),
+        store_port_(store),
+        promote_port_(promote),
         session_port_(FreePort()),
-        ready_port_(FreePort()) {
-    std::ofstream settings(folder_ + "/" + name_ + ".json");
-    const auto address = [](uint16_t port) {
-      return "\"127.0.0.1:" + std::to_string(port) + "\"";
-    };
-    settings
-        << "{\n  \"name\": \"" << name_ << "\",\n  \"failure_domain\": \""
-        << zone << "\",\n  \"session_address\": " << address(session_port_)
-        << ",\n  \"ready_address\": " << address(ready_port_)
-        << ",\n  \"peer_address\": " << address(FreePort())
-        << ",\n  \"metrics_address\": " << address(FreePort())
-        << ",\n  \"store_address\": " << address(store)
-        << ",\n  \"promotion_address\": " << address(promote)
-        << ",\n  \"first_start\": true,\n  \"stop_grace_s\": 6,\n"
-        << "  \"restart_allowance\": true,\n  \"queue_shares\": \"work\",\n"
-        << "  \"keeper_choice\": \"expected_wait\",\n"
-        << "  \"limit_order\": \"priority\",\n"
-        << "  \"database_concurrency\": \"adaptive\"\n}\n";
-  }
+        ready_port_(FreePort()),
+        peer_port_(FreePort()),
+        metrics_port_(FreePort()) {}
   ~Gateway() { Kill(); }
 
-  void Start() {
+  /// `first_start`: the whole system starts for the first time.
+  void Start(bool first_start = true) {
     const std::string settings = folder_ + "/" + name_ + ".json";
     const std::string log = folder_ + "/" + name_ + ".log";
+    WriteSettings(settings, first_start);
     pid_ = fork();
     if (pid_ != 0) return;
     // It ends with the run, also where that is ended from outside.
@@ -1080,6 +1100,14 @@
     waitpid(pid_, nullptr, 0);
     pid_ = 0;
   }
+  /// Stops the process with SIGTERM, and with SIGKILL after the grace.
+  void Stop() {
+    Signal(SIGTERM);
+    for (int i = 0; i < kGraceSeconds * 50 && pid_ > 0; ++i) {
+      if (Ended() == -1) SleepMs(20);
+    }
+    Kill();
+  }
   /// Returns the wait status once the process has ended by itself, else -1.
   int Ended() {
     int status = 0;
@@ -1098,8 +1126,33 @@
   }
 
  private:
-  const std::string name_, folder_;
-  const uint16_t session_port_, ready_port_;
+  static constexpr int kGraceSeconds = 6;
+
+  void WriteSettings(const std::string& path, bool first_start) const {
+    std::ofstream settings(path);
+    const auto address = [](uint16_t port) {
+      return "\"127.0.0.1:" + std::to_string(port) + "\"";
+    };
+    settings << "{\n  \"name\": \"" << name_ << "\",\n  \"failure_domain\": \""
+             << zone_
+             << "\",\n  \"session_address\": " << address(session_port_)
+             << ",\n  \"ready_address\": " << address(ready_port_)
+             << ",\n  \"peer_address\": " << address(peer_port_)
+             << ",\n  \"metrics_address\": " << address(metrics_port_)
+             << ",\n  \"store_address\": " << address(store_port_)
+             << ",\n  \"promotion_address\": " << address(promote_port_)
+             << ",\n  \"first_start\": " << (first_start ? "true" : "false")
+             << ",\n  \"stop_grace_s\": " << kGraceSeconds
+             << ",\n  \"restart_allowance\": true,\n"
+             << "  \"queue_shares\": \"work\",\n"
+             << "  \"keeper_choice\": \"expected_wait\",\n"
+             << "  \"limit_order\": \"priority\",\n"
+             << "  \"database_concurrency\": \"adaptive\"\n}\n";
+  }
+
+  const std::string name_, zone_, folder_;
+  const uint16_t store_port_, promote_port_;
+  const uint16_t session_port_, ready_port_, peer_port_, metrics_port_;
   pid_t pid_ = 0;
 };
 
