Review: ports of the cases' daemons below those of outgoing connections

Cause: one run of case 5 beside the others ended with a segmentation fault of its own program, not traced; probably a daemon whose port was taken, and an early exit while the stand-ins ran.

--- a/review/5/scenario.cc
+++ b/review/5/scenario.cc
@@ -78,7 +78,7 @@
     gateways.back()->Start();
   }
   for (const auto& gateway : gateways) {
-    if (!fleet::AwaitReady(*gateway, 10000)) return 2;
+    if (!fleet::AwaitReady(*gateway, 10000)) _exit(2);
   }
   SleepMs(4000);
 
@@ -116,7 +116,7 @@
   for (int round = 0; round < kRounds; ++round) {
     fleet::Session session(gateways[0]->session_port(), "stock", &record,
                            "own");
-    if (!session.started()) return 2;
+    if (!session.started()) _exit(2);
     const std::string item = "k" + std::to_string(round);
     const auto written = session.Ask(
         fleet::NextId(), "WRITE " + item + " mine" + std::to_string(round));
--- a/review/kit-2/fleet.h
+++ b/review/kit-2/fleet.h
@@ -96,12 +96,24 @@
   return fd;
 }
 
-/// A free port for a process under test.
+/// A free port for a process under test, below those that the kernel takes for
+/// outgoing connections.
 inline uint16_t FreePort() {
-  uint16_t port = 0;
-  const int fd = ListenFree(&port);
-  close(fd);
-  return port;
+  constexpr int kFirst = 15000, kCount = 15000;
+  static int next =
+      static_cast<int>(
+          std::chrono::system_clock::now().time_since_epoch().count() / 1000 +
+          getpid() * 97L) %
+      kCount;
+  for (int tries = 0; tries < kCount; ++tries) {
+    next = (std::abs(next) + 1) % kCount;
+    uint16_t port = static_cast<uint16_t>(kFirst + next);
+    const int fd = ListenFree(&port);
+    if (fd < 0) continue;
+    close(fd);
+    return port;
+  }
+  return 0;
 }
 
 /// One thread that serves all stand-ins; everything in it runs under `mutex`.
