Sessions: log what a read required of the log and what its session had committed

Two hypotheses fit that: (1) the session's position is forgotten when its route changes groups; (2) it is kept, and weakened on its way to the database, by the positions known of the group's term. The log could not tell them apart. A line `answered` now has `required` (what the last attempt asked of the database), `own_commit` (the session's last commit in the group) and the answer's `position`; nothing is formatted for a line that is not kept.

--- a/src/include/ryefold/core/event.h
+++ b/src/include/ryefold/core/event.h
@@ -5,9 +5,12 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
+#include "ryefold/core/types.h"
+
 namespace ryefold::core {
 
 /// Importance of an event when log lines have to be dropped.
@@ -62,6 +65,11 @@
     const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(span);
     return Add(key, std::to_string(ms.count()) + "ms");
   }
+  /// Adds a log position as TERM.INDEX, "none" if there is none.
+  Event& Add(std::string_view key, const std::optional<LogPosition>& position) {
+    if (sink_ == nullptr) return *this;
+    return Add(key, position.has_value() ? ToText(*position) : "none");
+  }
 
  private:
   EventSink* sink_;
--- a/src/include/ryefold/core/types.h
+++ b/src/include/ryefold/core/types.h
@@ -25,6 +25,11 @@
   auto operator<=>(const LogPosition&) const = default;  // NOLINT
 };
 
+/// Returns "TERM.INDEX", as in logs and status pages.
+inline std::string ToText(const LogPosition& position) {
+  return std::to_string(position.term) + "." + std::to_string(position.index);
+}
+
 /// The start of a term: `index` is the first entry written in `term`. Entries
 /// of older terms at or after this index were discarded.
 struct TermStart {
--- a/src/libcore/session/proxy_callers.cc
+++ b/src/libcore/session/proxy_callers.cc
@@ -360,6 +360,9 @@
       .Add("confirming", request->unconfirmed_reply.has_value()
                              ? now - request->committed_at
                              : now - now)
+      .Add("required", request->required_position)
+      .Add("own_commit", caller == nullptr ? LogPosition() : caller->committed)
+      .Add("position", reply.position)
       .Add("session_waits", request->session_waits)
       .Add("proving", request->unproved_reply.has_value()
                           ? now - request->proof_pending_since
--- a/src/libcore/session/proxy_placing.cc
+++ b/src/libcore/session/proxy_placing.cc
@@ -520,8 +520,9 @@
   }
   milliseconds position_age{0};
   std::optional<LogPosition> since;
+  if (mark.has_value()) since = mark->position;
+  request->required_position = since;
   if (mark.has_value()) {
-    since = mark->position;
     position_age = std::chrono::duration_cast<milliseconds>(now - mark->at);
   }
   const auto expect = [&](PendingCallKind kind) {
--- a/src/libcore/session/state.h
+++ b/src/libcore/session/state.h
@@ -141,6 +141,9 @@
   /// Database or keeper of the last attempt, for the log.
   std::string database;
   TimePoint sent_at;
+  /// Position that the last attempt required of the database's log; empty if it
+  /// required none.
+  std::optional<LogPosition> required_position;
   ErrorCode last_error = ErrorCode::kNone;
   /// The primary's reply to a commit that no replica is known to have received
   /// yet, and its time of arrival.
--- a/src/ryefoldd/gateway_status.cc
+++ b/src/ryefoldd/gateway_status.cc
@@ -11,10 +11,6 @@
 using core::session::GroupView;
 using std::chrono::milliseconds;
 
-std::string PositionText(const core::LogPosition& position) {
-  return std::to_string(position.term) + "." + std::to_string(position.index);
-}
-
 /// Milliseconds since `then`; null when it never was.
 Json::Value Age(core::TimePoint now, core::TimePoint then) {
   if (then == core::TimePoint()) return Json::nullValue;
@@ -30,7 +26,7 @@
   value["draining"] = database.draining;
   value["responsive"] = database.responsive;
   value["heard_ms_ago"] = Age(now, database.last_contact);
-  value["received"] = PositionText(database.status.received);
+  value["received"] = ToText(database.status.received);
   value["status_ms_ago"] = Age(now, database.status_requested_at);
   value["connections"] = database.connections;
   value["in_flight"] = database.in_flight;
