Sessions: a group made anew does not count under the terms of the old one

What callers would see: a group is removed from the configuration, its databases leave, and a group of its name is added with other databases. All writes there are answered as in doubt although they are done, at each instance that knew the old group, until it restarts.

Cause: what an instance knows of a group outlives the group's databases; the terms of the new log are below the known one. Not the positions that sessions compare: a session without any commit fails alike.

Change: with the last database of a group that is not configured its terms, marks and proofs are forgotten, and the positions of sessions are replaced by the times of their commits, which hold in any log.

--- a/src/include/ryefold/core/session/own_commits.h
+++ b/src/include/ryefold/core/session/own_commits.h
@@ -45,6 +45,10 @@
   /// Records a commit whose position is not known.
   void RecordWithoutPosition(TimePoint now, const std::string& group);
 
+  /// Replaces the position in `group` by its time: another log has begun under
+  /// the group's name.
+  void ForgetPosition(const std::string& group);
+
   /// Returns what a read in `group` must see.
   OwnCommitRequirement RequirementIn(const std::string& group) const;
 
--- a/src/libcore/session/own_commits.cc
+++ b/src/libcore/session/own_commits.cc
@@ -51,6 +51,11 @@
   forgotten_until_ = std::max(forgotten_until_, now);
 }
 
+void OwnCommits::ForgetPosition(const std::string& group) {
+  const auto found = Find(group);
+  if (found != commits_.end()) Forget(found);
+}
+
 OwnCommitRequirement OwnCommits::RequirementIn(const std::string& group) const {
   const auto found = std::find_if(
       commits_.begin(), commits_.end(),
--- a/src/libcore/session/proxy_impl.h
+++ b/src/libcore/session/proxy_impl.h
@@ -367,6 +367,7 @@
   void CloseUnresponsive(TimePoint now);
   void RemoveUnlistedDatabases(TimePoint now);
   void RemoveDatabase(TimePoint now, const std::string& id);
+  void ForgetLog(TimePoint now, Group* group);
   Connection* FindConnection(ConnectionId id);
   DatabaseState* FindDatabase(const std::string& id);
   Group* EnsureGroup(const std::string& name);
--- a/src/libcore/session/proxy_pool.cc
+++ b/src/libcore/session/proxy_pool.cc
@@ -418,6 +418,34 @@
   }
   databases_.erase(id);
   unlisted_databases_.erase(id);
+  const bool configured = route_table_.groups.count(group->name) > 0;
+  if (!configured && group->databases.empty()) ForgetLog(now, group);
+}
+
+/// Forgets what is known of the log of a group that is not configured any more
+/// and has lost its last database. Databases that are added under its name
+/// later begin a log of their own, whose terms and positions start again.
+void Proxy::Impl::ForgetLog(TimePoint now, Group* group) {
+  if (!group->unconfirmed_commits.empty() || !group->unproved_reads.empty()) {
+    return;
+  }
+  Event(events_, EventPriority::kState, "log_forgotten")
+      .Add("group", group->name)
+      .Add("term", group->term);
+  group->term = 0;
+  group->term_since = now;
+  group->leaders.clear();
+  group->departed.clear();
+  group->deposed.clear();
+  group->listed_primary.clear();
+  group->expected_primary.clear();
+  group->writes_held_position = LogPosition();
+  group->writes_held_primary.clear();
+  group->watermarks = Watermarks();
+  group->proof = LeadershipProof();
+  for (auto& [id, caller] : callers_) {
+    caller.commits.ForgetPosition(group->name);
+  }
 }
 
 void Proxy::Impl::MaintainPools(TimePoint now) {
--- a/testsuite/session_proxy/route_change_test.cc
+++ b/testsuite/session_proxy/route_change_test.cc
@@ -316,6 +316,34 @@
   ExpectOwnCommitHoldsBeyondTheBound();
 }
 
+// The first group is removed and made anew with other databases, whose log and
+// terms start again: positions of the old log neither hold up reads nor count.
+TEST_F(RouteChangeTest, OwnCommitsHoldInAGroupMadeAnew) {
+  CreateGroups(1, 1);
+  cluster_.Promote("db-b");
+  hosts_[0]->proxy()->OnRoster(clock_.now(), hosts_[0]->CurrentRoster());
+  StartSession(0, 1, "session");
+  for (int i = 0; i < 3; ++i) ASSERT_NE(WriteAndTakePosition(), LogPosition());
+  Visit("g1");
+  fleet_.routes->groups.erase("group");
+  for (auto& [name, route] : fleet_.routes->routes) route.group = "g1";
+  PublishRoutes();
+  hosts_[0]->proxy()->OnRoster(clock_.now(), TestRoster(*others_[0]));
+  RunFor(4000);
+  others_.push_back(std::make_unique<FakeCluster>(&clock_, 9, "group", "nb-"));
+  fleet_.other_clusters.push_back(others_.back().get());
+  SetLag(kLag);
+  Roster roster = TestRoster(*others_[0]);
+  roster.merge(TestRoster(*others_[1]));
+  hosts_[0]->proxy()->OnRoster(clock_.now(), roster);
+  fleet_.routes->groups["group"] = fleet_.routes->groups.at("g1");
+  LeadTo("group");
+  RunFor(200);
+  StartSession(0, 2, "session");
+  EXPECT_EQ(Write(0, 2), ErrorCode::kNone) << "a session without commits";
+  ExpectReadsSee(WriteAndTakePosition());
+}
+
 TEST(OwnCommitsTest, ReplacesTheOldestPositionByItsTime) {
   OwnCommits commits;
   const core::TimePoint start{milliseconds(1000)};
