--- a/src/include/ryefold/core/session/own_commits.h
+++ b/src/include/ryefold/core/session/own_commits.h
@@ -4,10 +4,11 @@
 // order to see it.
 //
 // Invariant: a session's own acknowledged commits hold for every group that it
-// wrote to, for as long as the session lives, whatever its routes do. All of it
-// is kept here: the proxy records each acknowledged commit when it answers its
-// caller (`Proxy::Impl::FinishRequest`) and asks for the requirement of each
-// read (`Proxy::Impl::RequiredMark`); nothing else changes the record.
+// wrote to, for as long as the session lives, whatever its routes do. All that
+// it needs is kept here: the proxy records each commit when it acknowledges it
+// (`Proxy::Impl::FinishRequest`), and each read must meet `RequirementIn`
+// (`Proxy::Impl::RequiredMark`). A keeper gets the requirement with each
+// statement that is forwarded to it.
 
 #include <string>
 #include <vector>
@@ -59,7 +60,6 @@
     TimePoint acknowledged_at;
   };
 
-  std::vector<Commit>::iterator Find(const std::string& group);
   void Forget(std::vector<Commit>::iterator commit);
 
   std::vector<Commit> commits_;
--- a/src/libcore/session/own_commits.cc
+++ b/src/libcore/session/own_commits.cc
@@ -4,14 +4,18 @@
 #include <utility>
 
 namespace ryefold::core::session {
+namespace {
 
-std::vector<OwnCommits::Commit>::iterator OwnCommits::Find(
-    const std::string& group) {
+/// Returns an iterator to the commit in `group`, or the end.
+template <class Commits>
+auto FindCommit(Commits& commits, const std::string& group) {
   return std::find_if(
-      commits_.begin(), commits_.end(),
-      [&group](const Commit& commit) { return commit.group == group; });
+      commits.begin(), commits.end(),
+      [&group](const auto& commit) { return commit.group == group; });
 }
 
+}  // namespace
+
 void OwnCommits::Forget(std::vector<Commit>::iterator commit) {
   forgotten_until_ = std::max(forgotten_until_, commit->acknowledged_at);
   commits_.erase(commit);
@@ -19,7 +23,7 @@
 
 std::string OwnCommits::Record(TimePoint now, const std::string& group,
                                const LogPosition& position) {
-  const auto found = Find(group);
+  const auto found = FindCommit(commits_, group);
   if (found != commits_.end()) {
     // Only another log under the group's name gives a later commit a lower
     // position; positions of the two cannot be compared.
@@ -46,20 +50,17 @@
 
 void OwnCommits::RecordWithoutPosition(TimePoint now,
                                        const std::string& group) {
-  const auto found = Find(group);
-  if (found != commits_.end()) Forget(found);
+  ForgetPosition(group);
   forgotten_until_ = std::max(forgotten_until_, now);
 }
 
 void OwnCommits::ForgetPosition(const std::string& group) {
-  const auto found = Find(group);
+  const auto found = FindCommit(commits_, group);
   if (found != commits_.end()) Forget(found);
 }
 
 OwnCommitRequirement OwnCommits::RequirementIn(const std::string& group) const {
-  const auto found = std::find_if(
-      commits_.begin(), commits_.end(),
-      [&group](const Commit& commit) { return commit.group == group; });
+  const auto found = FindCommit(commits_, group);
   OwnCommitRequirement requirement;
   if (found == commits_.end()) {
     requirement.all_until = forgotten_until_;
