--- a/testsuite/process_soak/run.sh
+++ b/testsuite/process_soak/run.sh
@@ -1,22 +1,4 @@
 #!/usr/bin/env bash
-# Runs the soak for each seed in testsuite/soak/SEEDS: fixed seeds and seeds of
-# past failures. Logs of failed runs are kept under soak_failed/ in the build
-# folder.
+# Runs the soak for fixed seeds and seeds of past failures.
 set -euo pipefail
-cd "$(dirname "$0")/../.."
-build="${BUILD:-build}"
-folder=$(mktemp -d)
-trap 'rm -rf "$folder"' EXIT
-failed=0
-while read -r seed seconds group _; do
-  options=()
-  [ "$group" = usual ] || options=("--$group")
-  mkdir -p "$folder/$seed"
-  "$build/soak_sessions" --program "$build/ryefoldd" --folder "$folder/$seed" \
-    --seed "$seed" --seconds "$seconds" "${options[@]}" && continue
-  failed=1
-  # Keeps the logs, because a failure may not be reproducible.
-  mkdir -p "$build/soak_failed"
-  cp -r "$folder/$seed" "$build/soak_failed/$seed-$(date +%H%M%S)"
-done < <(grep -v '^#' testsuite/soak/SEEDS)
-exit "$failed"
+exec "$(dirname "$0")/../soak/run_seeds.sh" usual databases-go-on
--- a/testsuite/session_random/random_test.cc
+++ b/testsuite/session_random/random_test.cc
@@ -9,142 +9,23 @@
 
 #include "testsuite/support/random/seeds.h"
 #include "testsuite/support/session/checked_callers.h"
+#include "testsuite/support/session/random_faults.h"
 
 namespace ryefold::testsuite {
 namespace {
 
-/// kCalmCallers is the number that two instances with two connections to each
-/// database serve without queueing; kCallers saturates them.
+/// Number of callers that two instances with two connections to each database
+/// serve without queueing.
 constexpr uint32_t kCalmCallers = 4;
-constexpr uint32_t kCallers = 12;
 /// Number of seeds in CI; `make soak` uses more and a random first seed.
 constexpr uint64_t kRuns = 10000;
 constexpr uint64_t kReplacementRuns = 1000;
-constexpr uint64_t kRouteRuns = 500;
 constexpr uint64_t kCalmRuns = 40;
 constexpr milliseconds kCalmTime{8000};
 /// Mean time of a caller's pause, 31 ms, of a statement's work, 21 ms, and of
 /// the way to the database and back, 2 ms.
 constexpr milliseconds kCalmStatementTime{54};
 constexpr uint64_t kThreads = 4;
-constexpr uint64_t kFirstSeed = 20261202;
-
-const char* RandomDatabaseId(CheckedCallers* callers) {
-  const char* ids[] = {"db-a", "db-b", "db-c"};
-  return ids[callers->random()() % 3];
-}
-
-/// Returns whether the third database, neither candidate nor primary, would
-/// receive the candidate's promotion. Otherwise the primary and the third
-/// database could continue in the old term, and both sides would confirm
-/// commits.
-bool ReachesThird(FakeCluster* cluster, const std::string& candidate) {
-  const std::set<std::string>& cut =
-      cluster->database(candidate).partitioned_from;
-  const std::string primary = cluster->primary();
-  for (const char* id : {"db-a", "db-b", "db-c"}) {
-    if (id == primary || id == candidate) continue;
-    const FakeDatabase& third = cluster->database(id);
-    const bool leads = third.primary;
-    if (!third.up || third.detached || leads || cut.count(id) > 0) return false;
-  }
-  return true;
-}
-
-void PromoteAnother(CheckedCallers* callers) {
-  FakeCluster& cluster = callers->cluster();
-  const std::string old = cluster.primary();
-  const std::string next = RandomDatabaseId(callers);
-  if (next == old || !cluster.database(next).up) return;
-  if (cluster.replaced_stay_active() && !ReachesThird(&cluster, next)) return;
-  cluster.Promote(next);
-  // Half of the time the roster shows the promotion after 300 ms, otherwise
-  // only when a later fault publishes it.
-  if (callers->random()() % 2 == 0) {
-    callers->clock().After(milliseconds(300),
-                           [callers] { callers->PublishRoster(); });
-  }
-}
-
-void CrashRandomDatabase(CheckedCallers* callers) {
-  const std::string id = RandomDatabaseId(callers);
-  FakeCluster& cluster = callers->cluster();
-  cluster.Crash(id);
-  for (size_t i = 0; i < callers->hosts(); ++i) {
-    callers->host(i).BreakConnections();
-  }
-  if (id == cluster.primary()) {
-    callers->clock().After(milliseconds(800), [callers, id] {
-      const std::string next = id == "db-a" ? "db-b" : "db-a";
-      if (!callers->cluster().database(next).up) return;
-      const bool active = callers->cluster().replaced_stay_active();
-      if (active && !ReachesThird(&callers->cluster(), next)) return;
-      callers->cluster().Promote(next);
-      callers->PublishRoster();
-    });
-  }
-  callers->clock().After(milliseconds(1500),
-                         [callers, id] { callers->cluster().Restart(id); });
-}
-
-/// Injects one random fault of a database, an instance or the network.
-void InjectFault(CheckedCallers* callers) {
-  FakeCluster& cluster = callers->cluster();
-  const size_t host = callers->random()() % callers->hosts();
-  switch (callers->random()() % 11) {
-    case 0:
-      PromoteAnother(callers);
-      break;
-    case 1:
-      CrashRandomDatabase(callers);
-      break;
-    case 2:
-      cluster.database(RandomDatabaseId(callers)).lag = milliseconds(2200);
-      break;
-    case 3:
-      cluster.database(RandomDatabaseId(callers)).detached = true;
-      break;
-    case 4:
-      cluster.database(RandomDatabaseId(callers)).lose_one_in = 15;
-      break;
-    case 5:
-      callers->host(host).BreakConnections();
-      break;
-    case 6:
-      callers->host(host).StallConnections();
-      break;
-    case 7:
-      callers->RestartHost(host);
-      break;
-    case 10:
-      callers->host(host).PartitionFrom(RandomDatabaseId(callers));
-      break;
-    case 8:
-      callers->fleet().lose_one_in = 20;
-      break;
-    default:
-      cluster.database(RandomDatabaseId(callers)).extra_latency =
-          milliseconds(150);
-      break;
-  }
-}
-
-void ClearFaults(CheckedCallers* callers) {
-  for (FakeCluster* cluster : callers->clusters()) {
-    for (const std::string& id : cluster->ids()) {
-      FakeDatabase& database = cluster->database(id);
-      database.lag = milliseconds(20);
-      database.detached = false;
-      database.lose_one_in = 0;
-      database.lose_commits_one_in = 0;
-      database.fail_one_in = 0;
-      database.extra_latency = milliseconds(0);
-    }
-  }
-  callers->fleet().lose_one_in = 0;
-  callers->cluster().HealPartitions();
-  for (size_t i = 0; i < callers->hosts(); ++i) callers->host(i).Reconnect();
-}
 
 // Without faults nothing is refused and no outcome is unknown, and callers get
 // on as fast as their own pauses and the work of the databases let them.
@@ -167,36 +48,6 @@
   EXPECT_GT(done, kCalmRuns * kCalmCallers * (kCalmTime / kCalmStatementTime));
 }
 
-/// Odd seeds use five instances of which three hold database connections, so
-/// that the other instances forward their callers' statements.
-CheckedCallers::FleetSize FleetSizeForSeed(uint64_t seed) {
-  if (seed % 2 == 0) return {kCallers, 2, 21};
-  return {kCallers, 5, 5};
-}
-
-/// Steps of one random run. Each step waits for `least_ms` plus a random time
-/// below `spread_ms`, then injects a fault.
-struct Steps {
-  int count = 8;
-  uint64_t least_ms = 200;
-  uint64_t spread_ms = 900;
-  void (*fault)(CheckedCallers*) = nullptr;
-};
-
-/// Runs the steps, clears all faults and checks the final state.
-void RunSteps(CheckedCallers* callers, const Steps& steps) {
-  for (int step = 0; step < steps.count; ++step) {
-    callers->Run(
-        milliseconds(steps.least_ms + callers->random()() % steps.spread_ms));
-    steps.fault(callers);
-    if (callers->random()() % 3 == 0) ClearFaults(callers);
-  }
-  ClearFaults(callers);
-  callers->StopNewWork();
-  callers->Run(milliseconds(6000));
-  callers->CheckFinalState();
-}
-
 /// Runs one seed and adds its counts to `sum`.
 void RunSeedWithFaults(uint64_t seed, CheckedCallers::Tally* sum) {
   SCOPED_TRACE("seed " + std::to_string(seed));
@@ -478,55 +329,5 @@
   EXPECT_GT(sum.acknowledged_writes, 10 * runs);
 }
 
-/// Leads a route, mostly that of session reads, to the other group and after a
-/// while back; or makes replicas lag, or injects another fault.
-void InjectRouteChange(CheckedCallers* callers) {
-  const uint64_t roll = callers->random()() % 6;
-  if (roll == 0) {
-    InjectFault(callers);
-    return;
-  }
-  if (roll == 1) {
-    for (FakeCluster* cluster : callers->clusters()) {
-      for (const std::string& id : cluster->ids()) {
-        if (id != cluster->primary()) {
-          cluster->database(id).lag = milliseconds(1200);
-        }
-      }
-    }
-    return;
-  }
-  const char* routes[] = {"session", "session", "primary", "bounded"};
-  const std::string route = routes[callers->random()() % 4];
-  const milliseconds max_delay(1 + callers->random()() % 200);
-  const milliseconds back_after(50 + callers->random()() % 600);
-  callers->LeadRouteTo(route, "other", max_delay);
-  callers->clock().After(back_after, [callers, route, max_delay] {
-    callers->LeadRouteTo(route, "group", max_delay);
-  });
-}
-
-// Routes lead to another group and back while replicas lag, and instances learn
-// of it at different times: a session must not miss a commit of its own that it
-// made before its route changed.
-TEST(SessionRandom, KeepsOwnCommitsWhileRoutesChangeGroups) {
-  const uint64_t first = FromEnvironment("RYEFOLD_SEED", kFirstSeed);
-  const uint64_t runs = FromEnvironment("RYEFOLD_RUNS", kRouteRuns);
-  CheckedCallers::Tally sum;
-  for (uint64_t seed = first; seed < first + runs; ++seed) {
-    SCOPED_TRACE("seed " + std::to_string(seed));
-    CheckedCallers::FleetSize size = FleetSizeForSeed(seed);
-    size.two_groups = true;
-    CheckedCallers callers(seed, size);
-    RunSteps(&callers, {10, 100, 500, InjectRouteChange});
-    sum.done += callers.tally().done;
-    sum.refused += callers.tally().refused;
-    sum.acknowledged_writes += callers.tally().acknowledged_writes;
-    ASSERT_FALSE(HasFailure());
-  }
-  EXPECT_GT(sum.done, 4 * sum.refused);
-  EXPECT_GT(sum.acknowledged_writes, 10 * runs);
-}
-
 }  // namespace
 }  // namespace ryefold::testsuite
--- a/testsuite/soak/main.cc
+++ b/testsuite/soak/main.cc
@@ -10,6 +10,7 @@
 #include <signal.h>
 #include <stdlib.h>
 
+#include <algorithm>
 #include <cxxopts.hpp>
 #include <fstream>
 #include <iostream>
@@ -79,6 +80,10 @@
   bool routes_change = false;
 };
 
+/// Beginnings of the ids of the databases of either group.
+constexpr const char* kIdPrefix = "db-";
+constexpr const char* kOtherIdPrefix = "ob-";
+
 /// Groups by route. A route that is missing does not exist.
 using RouteGroups = std::map<std::string, std::string>;
 
@@ -114,8 +119,8 @@
         base_(event_base_new()),
         ports_(base_, options.seed),
         store_(base_),
-        databases_(base_, &store_, "group"),
-        other_databases_(base_, &store_, "other", "ob-"),
+        databases_(base_, &store_, "group", kIdPrefix),
+        other_databases_(base_, &store_, "other", kOtherIdPrefix),
         promotion_(base_, wire::HttpLimits(),
                    [this](const wire::HttpExchange& e) { OnPromote(e); }) {}
 
@@ -190,14 +195,11 @@
     const uint64_t token = std::strtoull(
         exchange.header("Ryefold-Fence-Token").c_str(), nullptr, 10);
     wire::HttpReply reply;
-    const size_t other_at = exchange.body().find("ob-");
-    if (other_at != std::string::npos) {
-      reply.status =
-          other_databases_.Promote(exchange.body().substr(other_at, 4), token);
-    } else {
-      const size_t at = exchange.body().find("db-");
-      reply.status = databases_.Promote(exchange.body().substr(at, 4), token);
-    }
+    const size_t at = std::min(exchange.body().find(kIdPrefix),
+                               exchange.body().find(kOtherIdPrefix));
+    const std::string id = exchange.body().substr(at, 4);
+    const bool other = other_databases_.cluster().Contains(id);
+    reply.status = (other ? other_databases_ : databases_).Promote(id, token);
     // Drops the reply of one promotion in six.
     if (lost_replies_() % 6 != 0) exchange.Reply(reply);
   }
