Sessions: one way to record a commit; a log that is kept is logged

Record takes the commit with or without its position. ForgetLog returned without a word where replies still waited for the terms of the old log. A test holds the bound on positions. The fixture of route changes uses that of session_proxy.

--- a/src/include/ryefold/core/session/own_commits.h
+++ b/src/include/ryefold/core/session/own_commits.h
@@ -10,6 +10,7 @@
 // (`Proxy::Impl::RequiredMark`). A keeper gets the requirement with each
 // statement that is forwarded to it.
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -36,15 +37,15 @@
 /// a recorded position and needs no space of its own.
 class OwnCommits {
  public:
+  /// Maximum number of groups with a recorded position.
   static constexpr size_t kMaxGroups = 8;
 
   /// Records a commit that is acknowledged at `now`, with its position in the
-  /// group's log. Returns the name of the group whose position was forgotten
-  /// for it, or "" if none was.
+  /// group's log if its reply had one. Returns the group of which a time is
+  /// kept instead of a position from now on, or "" if there is none: that of
+  /// the oldest commit at the bound, or `group` if its position cannot be used.
   std::string Record(TimePoint now, const std::string& group,
-                     const LogPosition& position);
-  /// Records a commit whose position is not known.
-  void RecordWithoutPosition(TimePoint now, const std::string& group);
+                     const std::optional<LogPosition>& position);
 
   /// Replaces the position in `group` by its time: another log has begun under
   /// the group's name.
@@ -52,6 +53,8 @@
 
   /// Returns what a read in `group` must see.
   OwnCommitRequirement RequirementIn(const std::string& group) const;
+  /// Returns the number of groups with a recorded position.
+  size_t size() const { return commits_.size(); }
 
  private:
   struct Commit {
@@ -60,7 +63,7 @@
     TimePoint acknowledged_at;
   };
 
-  void Forget(std::vector<Commit>::iterator commit);
+  void ReplaceByTime(std::vector<Commit>::iterator commit);
 
   std::vector<Commit> commits_;
   /// Latest acknowledgement of a commit that has no entry in `commits_`.
--- a/src/libcore/session/own_commits.cc
+++ b/src/libcore/session/own_commits.cc
@@ -16,22 +16,26 @@
 
 }  // namespace
 
-void OwnCommits::Forget(std::vector<Commit>::iterator commit) {
+void OwnCommits::ReplaceByTime(std::vector<Commit>::iterator commit) {
   forgotten_until_ = std::max(forgotten_until_, commit->acknowledged_at);
   commits_.erase(commit);
 }
 
 std::string OwnCommits::Record(TimePoint now, const std::string& group,
-                               const LogPosition& position) {
+                               const std::optional<LogPosition>& position) {
   const auto found = FindCommit(commits_, group);
-  if (found != commits_.end()) {
-    // Only another log under the group's name gives a later commit a lower
-    // position; positions of the two cannot be compared.
-    if (position < found->position) {
-      RecordWithoutPosition(now, group);
-      return group;
-    }
-    found->position = position;
+  const bool known = found != commits_.end();
+  // Only another log under the group's name gives a later commit a lower
+  // position; positions of the two cannot be compared.
+  const bool usable =
+      position.has_value() && !(known && *position < found->position);
+  if (!usable) {
+    if (known) commits_.erase(found);
+    forgotten_until_ = std::max(forgotten_until_, now);
+    return group;
+  }
+  if (known) {
+    found->position = *position;
     found->acknowledged_at = now;
     return "";
   }
@@ -42,21 +46,15 @@
           return a.acknowledged_at < b.acknowledged_at;
         });
     forgotten = oldest->group;
-    Forget(oldest);
+    ReplaceByTime(oldest);
   }
-  commits_.push_back({group, position, now});
+  commits_.push_back({group, *position, now});
   return forgotten;
 }
 
-void OwnCommits::RecordWithoutPosition(TimePoint now,
-                                       const std::string& group) {
-  ForgetPosition(group);
-  forgotten_until_ = std::max(forgotten_until_, now);
-}
-
 void OwnCommits::ForgetPosition(const std::string& group) {
   const auto found = FindCommit(commits_, group);
-  if (found != commits_.end()) Forget(found);
+  if (found != commits_.end()) ReplaceByTime(found);
 }
 
 OwnCommitRequirement OwnCommits::RequirementIn(const std::string& group) const {
--- a/src/libcore/session/proxy_callers.cc
+++ b/src/libcore/session/proxy_callers.cc
@@ -327,12 +327,8 @@
                                   const Reply& reply, Caller* caller) {
   if (!request.commits_writes || !reply.ok()) return;
   const std::string& group = request.route->group;
-  std::string forgotten = group;
-  if (reply.position.has_value()) {
-    forgotten = caller->commits.Record(now, group, *reply.position);
-  } else {
-    caller->commits.RecordWithoutPosition(now, group);
-  }
+  const std::string forgotten =
+      caller->commits.Record(now, group, reply.position);
   if (forgotten.empty()) return;
   ++counters_.own_commits_forgotten;
   Event(events_, EventPriority::kRequest, "own_commit_forgotten")
@@ -351,8 +347,8 @@
     if (reply.position.has_value()) {
       caller->position = reply.position;
     } else if (!request->commits_writes) {
-      // An earlier position would be taken for that of the commit by the
-      // instance that forwarded it.
+      // An instance that forwarded the commit would take an earlier position
+      // for the commit's own.
       reply.position = caller->position;
     }
     if (caller->state == TransactionState::kOpen) {
--- a/src/libcore/session/proxy_pool.cc
+++ b/src/libcore/session/proxy_pool.cc
@@ -426,12 +426,16 @@
 /// and has lost its last database. Databases that are added under its name
 /// later begin a log of their own, whose terms and positions start again.
 void Proxy::Impl::ForgetLog(TimePoint now, Group* group) {
-  if (!group->unconfirmed_commits.empty() || !group->unproved_reads.empty()) {
-    return;
-  }
-  Event(events_, EventPriority::kState, "log_forgotten")
+  const size_t undecided =
+      group->unconfirmed_commits.size() + group->unproved_reads.size();
+  // Replies that wait are judged by the terms of the log that they come from.
+  const bool forget = undecided == 0;
+  Event(events_, EventPriority::kState,
+        forget ? "log_forgotten" : "log_not_forgotten")
       .Add("group", group->name)
-      .Add("term", group->term);
+      .Add("term", group->term)
+      .Add("undecided", undecided);
+  if (!forget) return;
   group->term = 0;
   group->term_since = now;
   group->leaders.clear();
--- a/testsuite/session_proxy/proxy_fixture.h
+++ b/testsuite/session_proxy/proxy_fixture.h
@@ -18,10 +18,11 @@
  protected:
   ProxyTest() : cluster_(&clock_, 5) {}
 
-  void CreateInstances(uint32_t instances) {
+  /// Creates instances in the failure domain; "a" is that of the primary.
+  void CreateInstances(uint32_t instances, const std::string& domain = "a") {
     for (uint32_t i = 0; i < instances; ++i) {
       hosts_.push_back(std::make_unique<InstanceHost>(
-          &clock_, &cluster_, this, "i" + std::to_string(i), "a", &fleet_));
+          &clock_, &cluster_, this, "i" + std::to_string(i), domain, &fleet_));
     }
     for (const auto& host : hosts_) {
       host->proxy()->SetInstances(clock_.now(), host->name(),
--- a/testsuite/session_proxy/route_change_test.cc
+++ b/testsuite/session_proxy/route_change_test.cc
@@ -4,7 +4,9 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -35,17 +37,13 @@
       fleet_.other_clusters.push_back(others_.back().get());
       fleet_.routes->groups[name] = fleet_.routes->groups.at("group");
     }
-    for (uint32_t i = 0; i < instances; ++i) {
-      hosts_.push_back(std::make_unique<InstanceHost>(
-          &clock_, &cluster_, this, "i" + std::to_string(i), "b", &fleet_));
-    }
-    for (const auto& host : hosts_) {
-      host->proxy()->SetInstances(clock_.now(), host->name(),
-                                  fleet_.candidates);
-    }
-    RunFor(200);
-    // Before the tests' commits all groups have marks and replicas that hold
-    // them, so that replicas may serve reads.
+    CreateInstances(instances, "b");
+    ReadAtReplicas();
+    SetLag(kLag);
+  }
+  /// Reads in all groups, so that these have marks, and replicas that hold
+  /// them, from before a test's commits: replicas may serve reads then.
+  void ReadAtReplicas() {
     StartSession(0, 9, "session");
     for (const auto& [name, limits] : fleet_.routes->groups) {
       LeadTo(name);
@@ -60,7 +58,6 @@
         EXPECT_EQ(Read(i, 10 + i), ErrorCode::kNone);
       }
     }
-    SetLag(kLag);
   }
   void SetLag(milliseconds lag) {
     for (FakeCluster* cluster : AllClusters()) {
@@ -363,6 +360,19 @@
   EXPECT_EQ(commits.RequirementIn("0").all_until, core::TimePoint());
 }
 
+// A session that writes to very many groups keeps no more positions than the
+// bound.
+TEST(OwnCommitsTest, KeepsNoMorePositionsThanTheBound) {
+  OwnCommits commits;
+  for (uint64_t i = 0; i < 1000; ++i) {
+    commits.Record(core::TimePoint(milliseconds(i)), std::to_string(i),
+                   LogPosition{1, 1});
+    EXPECT_LE(commits.size(), OwnCommits::kMaxGroups);
+  }
+  EXPECT_EQ(commits.RequirementIn("0").all_until,
+            core::TimePoint(milliseconds(999 - OwnCommits::kMaxGroups)));
+}
+
 // A commit's position is missing, or belongs to another log of the same name.
 TEST(OwnCommitsTest, APositionThatCannotBeComparedIsReplacedByItsTime) {
   OwnCommits commits;
@@ -374,7 +384,8 @@
   EXPECT_EQ(commits.RequirementIn("group").all_until, start + milliseconds(1));
   commits.Record(start + milliseconds(2), "group", LogPosition{1, 4});
   EXPECT_EQ(commits.RequirementIn("group").position, (LogPosition{1, 4}));
-  commits.RecordWithoutPosition(start + milliseconds(3), "group");
+  EXPECT_EQ(commits.Record(start + milliseconds(3), "group", std::nullopt),
+            "group");
   EXPECT_EQ(commits.RequirementIn("group").position, LogPosition());
   EXPECT_EQ(commits.RequirementIn("group").all_until, start + milliseconds(3));
 }
