Sessions: tests and postmortem of a commit that is answered without its position

What callers would see: a commit is acknowledged and reads of the session miss it. Cause: such a commit was not recorded, and a keeper answered it with an earlier position.

--- a/testsuite/session_proxy/route_change_test.cc
+++ b/testsuite/session_proxy/route_change_test.cc
@@ -313,6 +313,31 @@
   ExpectOwnCommitHoldsBeyondTheBound();
 }
 
+// A database acknowledges a commit without its position.
+TEST_F(RouteChangeTest, ACommitWithoutAPositionHolds) {
+  CreateGroups(1, 1);
+  StartSession(0, 1, "session");
+  cluster_.database("db-a").omit_commit_positions = true;
+  ASSERT_EQ(Write(0, 1), ErrorCode::kNone);
+  EXPECT_FALSE(replies_[1].position.has_value());
+  ExpectReadsSee(cluster_.database("db-a").log.back().position);
+}
+
+// The same in a transaction at a keeper, which must not report the position of
+// the begin in its place.
+TEST_F(RouteChangeTest, ACommitWithoutAPositionHoldsAtKeepers) {
+  fleet_.connection_limit = 4;
+  CreateGroups(6, 1);
+  StartSession(0, 1, "session");
+  cluster_.database("db-a").omit_commit_positions = true;
+  ASSERT_EQ(Execute(0, 1, StatementKind::kBegin, "BEGIN"), ErrorCode::kNone);
+  ASSERT_EQ(Write(0, 1), ErrorCode::kNone);
+  ASSERT_EQ(Execute(0, 1, StatementKind::kCommit, "COMMIT"), ErrorCode::kNone);
+  EXPECT_FALSE(replies_[1].position.has_value());
+  EXPECT_GT(fleet_.forwarded_count, 0U);
+  ExpectReadsSee(cluster_.database("db-a").log.back().position);
+}
+
 // The first group is removed and made anew with other databases, whose log and
 // terms start again: positions of the old log neither hold up reads nor count.
 TEST_F(RouteChangeTest, OwnCommitsHoldInAGroupMadeAnew) {
--- a/testsuite/support/session/fake_cluster.h
+++ b/testsuite/support/session/fake_cluster.h
@@ -551,6 +551,8 @@
     Reply reply = MakeReply(*session, *database);
     reply.digest = executed.digest;
     if (!commit && !writes) reply.rows.push_back("row-" + call.id);
+    const bool commits = commit || (writes && !open);
+    if (commits && database->omit_commit_positions) reply.position.reset();
     executed_statements_.push_back(std::move(executed));
     return reply;
   }
--- a/testsuite/support/session/fake_database.h
+++ b/testsuite/support/session/fake_database.h
@@ -69,6 +69,8 @@
   uint32_t lose_one_in = 0;
   /// Loses about one in this many replies to commits; 0 loses none.
   uint32_t lose_commits_one_in = 0;
+  /// Answers commits without their position.
+  bool omit_commit_positions = false;
   /// Fails about one in this many calls of any kind; 0 fails none. A failed
   /// change of the session's state takes effect in half of the cases.
   uint32_t fail_one_in = 0;
