--- a/src/libcore/session/proxy_forwarding.cc
+++ b/src/libcore/session/proxy_forwarding.cc
@@ -257,7 +257,8 @@
       caller.commits.RequirementIn(request->route->group);
   forwarded.committed = own.position;
   if (forwarded.route.freshness == Freshness::kSession) {
-    // The time that the read must see, as an age: the keeper has another clock.
+    // The keeper has another clock, so that it gets the time up to which the
+    // read must see all commits as a maximum age of its data.
     forwarded.route.max_staleness =
         std::min(forwarded.route.max_staleness,
                  std::chrono::floor<milliseconds>(now - own.all_until));
--- a/testsuite/session_proxy/route_change_test.cc
+++ b/testsuite/session_proxy/route_change_test.cc
@@ -83,8 +83,7 @@
     fleet_.routes->routes.at("session").group = group;
     PublishRoutes();
   }
-  /// Sends a read whose answer does not matter, as the session leaves its
-  /// group.
+  /// Leads the route of caller 1 to the group and reads there.
   void Visit(const std::string& group) {
     LeadTo(group);
     EXPECT_EQ(Read(0, 1), ErrorCode::kNone) << group;
@@ -137,7 +136,7 @@
   std::string database_;
 };
 
-// A route leads to another group and back: reads missed what the session had
+// A route leads to another group and back: reads must see what the session has
 // committed before.
 TEST_F(RouteChangeTest, OwnCommitsHoldWhenTheRouteComesBack) {
   CreateGroups(1, 1);
--- a/testsuite/session_random/random_test.cc
+++ b/testsuite/session_random/random_test.cc
@@ -105,36 +105,12 @@
       2 + static_cast<uint32_t>(callers->random()() % 6);
 }
 
-struct SeedsResult {
-  CheckedCallers::Tally tally;
-  uint64_t lost_commits = 0;
-};
-
-/// Runs each seed with the fault until one fails, and adds up its counts.
-SeedsResult RunSeeds(uint64_t runs, void (*fault)(CheckedCallers*)) {
-  const uint64_t first = FromEnvironment("RYEFOLD_SEED", kFirstSeed);
-  SeedsResult sum;
-  for (uint64_t seed = first; seed < first + runs; ++seed) {
-    SCOPED_TRACE("seed " + std::to_string(seed));
-    CheckedCallers callers(seed, FleetSizeForSeed(seed));
-    RunSteps(&callers, {8, 200, 900, fault});
-    const CheckedCallers::Tally& tally = callers.tally();
-    sum.tally.done += tally.done;
-    sum.tally.refused += tally.refused;
-    sum.tally.in_doubt += tally.in_doubt;
-    sum.tally.acknowledged_writes += tally.acknowledged_writes;
-    sum.lost_commits += callers.cluster().lost_commits();
-    if (testing::Test::HasFailure()) break;
-  }
-  return sum;
-}
-
 // A database fails part of its calls of every kind, also those that set the
 // state of a session: a statement must run with the values of its session and
 // at most once.
 TEST(SessionRandom, KeepsGuaranteesWhileDatabasesFailCalls) {
   const uint64_t runs = FromEnvironment("RYEFOLD_RUNS", kReplacementRuns);
-  const SeedsResult sum = RunSeeds(runs, InjectFailingCalls);
+  const SeedsResult sum = RunSeeds(runs, {8, 200, 900, InjectFailingCalls});
   EXPECT_GT(sum.tally.done, 4 * sum.tally.refused);
   EXPECT_GT(sum.tally.acknowledged_writes, 10 * runs);
 }
@@ -164,7 +140,7 @@
 // other or at once: a commit that may have taken effect must not be denied.
 TEST(SessionRandom, DeniesNoCommitWhileInstancesStop) {
   const uint64_t runs = FromEnvironment("RYEFOLD_RUNS", kReplacementRuns);
-  const SeedsResult sum = RunSeeds(runs, InjectStop);
+  const SeedsResult sum = RunSeeds(runs, {8, 200, 900, InjectStop});
   EXPECT_GT(sum.lost_commits, runs);
   EXPECT_GT(sum.tally.in_doubt, runs);
   EXPECT_GT(sum.tally.acknowledged_writes, 10 * runs);
--- a/testsuite/session_routes/routes_test.cc
+++ b/testsuite/session_routes/routes_test.cc
@@ -58,22 +58,11 @@
 // of it at different times: a session must not miss a commit of its own that it
 // made before its route changed.
 TEST(SessionRoutes, KeepsOwnCommitsWhileRoutesChangeGroups) {
-  const uint64_t first = FromEnvironment("RYEFOLD_SEED", kFirstSeed);
   const uint64_t runs = FromEnvironment("RYEFOLD_RUNS", kRuns);
-  CheckedCallers::Tally sum;
-  for (uint64_t seed = first; seed < first + runs; ++seed) {
-    SCOPED_TRACE("seed " + std::to_string(seed));
-    CheckedCallers::FleetSize size = FleetSizeForSeed(seed);
-    size.two_groups = true;
-    CheckedCallers callers(seed, size);
-    RunSteps(&callers, {10, 100, 500, InjectRouteFault});
-    sum.done += callers.tally().done;
-    sum.refused += callers.tally().refused;
-    sum.acknowledged_writes += callers.tally().acknowledged_writes;
-    ASSERT_FALSE(HasFailure());
-  }
-  EXPECT_GT(sum.done, 4 * sum.refused);
-  EXPECT_GT(sum.acknowledged_writes, 10 * runs);
+  const SeedsResult sum =
+      RunSeeds(runs, {10, 100, 500, InjectRouteFault}, /*two_groups=*/true);
+  EXPECT_GT(sum.tally.done, 4 * sum.tally.refused);
+  EXPECT_GT(sum.tally.acknowledged_writes, 10 * runs);
 }
 
 }  // namespace
--- a/testsuite/support/session/random_faults.h
+++ b/testsuite/support/session/random_faults.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 
+#include "testsuite/support/random/seeds.h"
 #include "testsuite/support/session/checked_callers.h"
 
 namespace ryefold::testsuite {
@@ -165,4 +166,33 @@
   callers->CheckFinalState();
 }
 
+/// What the callers of several runs got together.
+struct SeedsResult {
+  CheckedCallers::Tally tally;
+  uint64_t lost_commits = 0;
+};
+
+/// Runs the steps with each of `runs` seeds, from that in RYEFOLD_SEED on,
+/// until one fails, and adds up the counts.
+inline SeedsResult RunSeeds(uint64_t runs, const Steps& steps,
+                            bool two_groups = false) {
+  const uint64_t first = FromEnvironment("RYEFOLD_SEED", kFirstSeed);
+  SeedsResult sum;
+  for (uint64_t seed = first; seed < first + runs; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    CheckedCallers::FleetSize size = FleetSizeForSeed(seed);
+    size.two_groups = two_groups;
+    CheckedCallers callers(seed, size);
+    RunSteps(&callers, steps);
+    const CheckedCallers::Tally& tally = callers.tally();
+    sum.tally.done += tally.done;
+    sum.tally.refused += tally.refused;
+    sum.tally.in_doubt += tally.in_doubt;
+    sum.tally.acknowledged_writes += tally.acknowledged_writes;
+    sum.lost_commits += callers.cluster().lost_commits();
+    if (testing::Test::HasFailure()) break;
+  }
+  return sum;
+}
+
 }  // namespace ryefold::testsuite
